--- /dev/null
+++ b/core/dispatch/commit_streams.cpp
@@ -0,0 +1,168 @@
+#include "core/dispatch/commit_streams.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace wigeonkeel::dispatch
+{
+
+namespace
+{
+
+/// The condition on the chain key and its write.
+constexpr std::size_t overheadEntries = 2;
+/// Commits that waited longer than this go out on a further stream.
+constexpr milliseconds patience{25};
+/// Answers arrive within a few milliseconds; these bound the wait for one that was lost.
+constexpr milliseconds shortestTimeout{250};
+constexpr milliseconds longestTimeout{1500};
+constexpr double timeoutPerLatency = 4.0;
+constexpr double latencyWeight = 0.2;
+constexpr milliseconds firstRetryDelay{50};
+constexpr milliseconds longestRetryDelay{400};
+
+void fill(CommitQueue &queue, CommitStream &stream)
+{
+    std::size_t room = maxTransactionEntries - overheadEntries;
+    while (!queue.waiting.empty() && queue.waiting.front().entries() <= room) {
+        room -= queue.waiting.front().entries();
+        stream.inFlight.push_back(std::move(queue.waiting.front()));
+        queue.waiting.pop_front();
+    }
+    ++stream.sequence;
+}
+
+void send(CommitQueue &queue, CommitStream &stream, Outbox &outbox, MonotonicTime now)
+{
+    StoreTransaction transaction{.call = outbox.newCall(),
+        .conditions = {{.key = stream.key, .revision = stream.revision}},
+        .writes = {{.key = stream.key, .value = chainValue(queue.token, stream.sequence)}},
+        .deletes = {},
+        .timeout = storeTimeout(queue.health)};
+    for (const Commit &commit : stream.inFlight) {
+        for (StoreWrite write : commit.writes) {
+            if (commit.tag.kind == CommitKind::End) {
+                write.lease = queue.endLease;
+            }
+            transaction.writes.push_back(std::move(write));
+        }
+        transaction.deletes.insert(transaction.deletes.end(), commit.deletes.begin(), commit.deletes.end());
+    }
+    stream.call = transaction.call;
+    stream.sentAt = now;
+    outbox.add(std::move(transaction));
+}
+
+CommitResult finish(CommitStream &stream, std::uint64_t revision, std::vector<CommitTag> &stored)
+{
+    stream.revision = revision;
+    stream.failures = 0;
+    for (const Commit &commit : stream.inFlight) {
+        stored.push_back(commit.tag);
+    }
+    stream.inFlight.clear();
+    return CommitResult::Stored;
+}
+
+CommitResult retryLater(CommitStream &stream, MonotonicTime now)
+{
+    const milliseconds delay = std::min(firstRetryDelay * (1 << std::min(stream.failures, 4U)), longestRetryDelay);
+    ++stream.failures;
+    stream.retryAt = now + delay;
+    return CommitResult::Retry;
+}
+
+} // namespace
+
+std::string chainKey(std::size_t stream)
+{
+    return fmt::format("wk/ctl/chain{}", stream);
+}
+
+std::string chainValue(std::uint64_t token, std::uint64_t sequence)
+{
+    return fmt::format("{}:{}", token, sequence);
+}
+
+milliseconds storeTimeout(const StoreHealth &health)
+{
+    const auto wanted = milliseconds(static_cast<std::int64_t>(health.latencyMs * timeoutPerLatency));
+    return std::clamp(wanted, shortestTimeout, longestTimeout);
+}
+
+void noteStoreAnswer(StoreHealth &health, milliseconds latency)
+{
+    health.failing = false;
+    health.latencyMs += (static_cast<double>(latency.count()) - health.latencyMs) * latencyWeight;
+}
+
+void noteStoreFailure(StoreHealth &health, MonotonicTime now)
+{
+    if (!health.failing) {
+        health.failing = true;
+        health.failingSince = now;
+    }
+    // A store that has turned slow answers after the timeout; without this the timeout would never grow.
+    health.latencyMs = std::min(health.latencyMs * 1.5, static_cast<double>(longestTimeout.count()));
+}
+
+void sendCommits(CommitQueue &queue, Outbox &outbox, MonotonicTime now)
+{
+    bool first = true;
+    for (CommitStream &stream : queue.streams) {
+        if (stream.call != 0) {
+            first = false;
+            continue;
+        }
+        if (!stream.inFlight.empty()) {
+            if (stream.retryAt <= now) {
+                send(queue, stream, outbox, now);
+            }
+            first = false;
+            continue;
+        }
+        if (queue.waiting.empty() || (!first && now - queue.waiting.front().queuedAt < patience)) {
+            return;
+        }
+        fill(queue, stream);
+        send(queue, stream, outbox, now);
+        first = false;
+    }
+}
+
+CommitStream *findStream(CommitQueue &queue, CallId call)
+{
+    const auto found = std::ranges::find(queue.streams, call, &CommitStream::call);
+    return call == 0 || found == queue.streams.end() ? nullptr : &*found;
+}
+
+CommitResult takeCommitReply(CommitQueue &queue, CommitStream &stream, const StoreReply &reply, MonotonicTime now,
+    std::vector<CommitTag> &stored)
+{
+    stream.call = 0;
+    switch (reply.status) {
+    case CallStatus::Ok:
+        noteStoreAnswer(queue.health, std::chrono::floor<milliseconds>(now - stream.sentAt));
+        return finish(stream, reply.revision, stored);
+    case CallStatus::Conflict: {
+        noteStoreAnswer(queue.health, std::chrono::floor<milliseconds>(now - stream.sentAt));
+        const auto chain = std::ranges::find(reply.items, stream.key, &StoreItem::key);
+        if (chain != reply.items.end() && chain->value == chainValue(queue.token, stream.sequence)) {
+            return finish(stream, chain->revision, stored);
+        }
+        return CommitResult::Deposed;
+    }
+    case CallStatus::NotFound:
+        retryLater(stream, now);
+        return CommitResult::LeaseGone;
+    case CallStatus::Refused:
+    case CallStatus::Unreachable:
+    case CallStatus::Unknown:
+        noteStoreFailure(queue.health, now);
+        return retryLater(stream, now);
+    }
+    return CommitResult::Retry;
+}
+
+} // namespace wigeonkeel::dispatch
--- /dev/null
+++ b/core/dispatch/dispatcher.cpp
@@ -0,0 +1,476 @@
+#include "core/dispatch/dispatcher.h"
+
+#include "core/dispatch/records.h"
+#include "core/dispatch/task_runs.h"
+#include "core/dispatch/worker_events.h"
+#include "core/log.h"
+
+#include <algorithm>
+
+namespace wigeonkeel::dispatch
+{
+
+namespace
+{
+
+constexpr std::string_view logPart = "dispatch";
+/// Lists of runs are checked at this interval.
+constexpr milliseconds supervisionInterval{100};
+/// Records of ended jobs are kept at least `keepEnded`; a new lease for them is opened this long before that is short.
+constexpr milliseconds endLeaseSpare{40000};
+constexpr milliseconds endLeaseRetry{300};
+/// While the store has failed for this long, new jobs are refused at once: they could not be stored in time.
+constexpr milliseconds storePatience{500};
+/// After this long without the store, ends are shown although only the workers keep them.
+constexpr milliseconds storeOutage{700};
+/// Jobs that wait to be stored; with more, new ones are refused.
+constexpr std::size_t maxWaitingCommits = 600;
+/// When a client may try again after the store was away.
+constexpr milliseconds outageRetryAfter{1000};
+constexpr milliseconds overloadRetryAfter{2000};
+
+bool storeIsAway(const Dispatcher &dispatcher, MonotonicTime now, milliseconds patience)
+{
+    const StoreHealth &health = dispatcher.commits.health;
+    return health.failing && now - health.failingSince > patience;
+}
+
+void answer(Dispatcher &dispatcher, ClientAnswer answer)
+{
+    dispatcher.outbox->add(LeaderAnswer{.answer = answer});
+}
+
+void refuse(Dispatcher &dispatcher, const ClientCall &call, milliseconds retryAfter, std::string_view reason)
+{
+    ++dispatcher.counters.refused;
+    logLine(LogLevel::Info, logPart, "Job refused. job={} queue={} reason={} retry_after_ms={}", formatJobId(call.job),
+        call.queue, reason, retryAfter.count());
+    answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Refused, .retryAfter = retryAfter});
+}
+
+/// True if some worker of the pool could ever hold a task of each step. Unknown pools may still fill.
+bool isPossible(const Dispatcher &dispatcher, const JobRecord &record)
+{
+    const auto ofPool = [&record](const Worker &worker) {
+        return worker.listed && worker.entry.pool == record.queue.pool;
+    };
+    if (std::ranges::none_of(dispatcher.workers.workers, ofPool)) {
+        return true;
+    }
+    return std::ranges::all_of(record.spec.steps, [&](const StepSpec &step) {
+        return std::ranges::any_of(dispatcher.workers.workers, [&](const Worker &worker) {
+            return ofPool(worker) && fits(chargedSize(step), worker.entry.capacity);
+        });
+    });
+}
+
+milliseconds timeUntilLate(const JobRecord &record)
+{
+    const auto chain = std::chrono::duration<double, std::milli>(longestChain(record.spec)) * record.queue.stretch;
+    return std::chrono::floor<milliseconds>(chain) + record.queue.target;
+}
+
+Job &addJob(Dispatcher &dispatcher, JobRecord record, Now now)
+{
+    auto job = std::make_unique<Job>();
+    // The time of day may differ between daemons; a submission is never in the future.
+    const auto age = std::max(milliseconds(0), now.wall - record.submittedAt);
+    job->submittedAt = now.monotonic - age;
+    job->dueBy = job->submittedAt + timeUntilLate(record);
+    const bool isTimed = record.spec.repeatCount > 0;
+    job->record = std::move(record);
+    if (!isTimed) {
+        job->occurrences.push_back(makeOccurrence(job->record.spec, 0));
+        job->nextOccurrence = 1;
+    }
+    const JobId id = job->record.id;
+    return *(dispatcher.jobs.live[id] = std::move(job));
+}
+
+void submit(Dispatcher &dispatcher, const ClientCall &call, Now now)
+{
+    if (dispatcher.jobs.ended.contains(call.job)) {
+        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok});
+        return;
+    }
+    Job *known = findJob(dispatcher.jobs, call.job);
+    if (known != nullptr && known->accepted) {
+        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok});
+        return;
+    }
+    if (known != nullptr) {
+        known->waitingSubmits.push_back(call.call);
+        return;
+    }
+    std::string problem;
+    auto record = decodeJobRecord(call.record, problem);
+    if (!record) {
+        logLine(LogLevel::Error, logPart, "A submission can't be read. job={} problem={}", formatJobId(call.job), problem);
+        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Impossible});
+        return;
+    }
+    if (storeIsAway(dispatcher, now.monotonic, storePatience)) {
+        refuse(dispatcher, call, outageRetryAfter, "store away");
+        return;
+    }
+    if (dispatcher.commits.waiting.size() > maxWaitingCommits) {
+        refuse(dispatcher, call, overloadRetryAfter, "store behind");
+        return;
+    }
+    if (!isPossible(dispatcher, *record)) {
+        ++dispatcher.counters.refused;
+        logLine(LogLevel::Info, logPart, "Job refused. job={} queue={} reason=no worker is large enough",
+            formatJobId(call.job), call.queue);
+        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Impossible});
+        return;
+    }
+    Job &job = addJob(dispatcher, std::move(*record), now);
+    job.waitingSubmits.push_back(call.call);
+    Commit commit{.tag = {.kind = CommitKind::Accept, .job = call.job},
+        .writes = {{.key = jobKey(call.job), .value = call.record}},
+        .deletes = {},
+        .queuedAt = now.monotonic};
+    ++dispatcher.counters.commits;
+    dispatcher.commits.waiting.push_back(std::move(commit));
+}
+
+JobState shownState(const Dispatcher &dispatcher, const Job &job, MonotonicTime now)
+{
+    if (!isEnded(job.state)) {
+        return job.started ? JobState::Running : JobState::Queued;
+    }
+    // The workers keep their lists until the store has the end, so a long outage of the store alone loses nothing.
+    const bool mayShow = job.endStored || (job.state == JobState::Done && storeIsAway(dispatcher, now, storeOutage));
+    return mayShow ? job.state : JobState::Running;
+}
+
+void query(Dispatcher &dispatcher, const ClientCall &call, MonotonicTime now)
+{
+    const auto ended = dispatcher.jobs.ended.find(call.job);
+    if (ended != dispatcher.jobs.ended.end()) {
+        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok, .state = ended->second});
+        return;
+    }
+    const Job *job = findJob(dispatcher.jobs, call.job);
+    if (job == nullptr) {
+        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::NoSuchJob});
+        return;
+    }
+    answer(dispatcher,
+        {.call = call.call, .outcome = ClientOutcome::Ok, .state = shownState(dispatcher, *job, now)});
+}
+
+void cancel(Dispatcher &dispatcher, const ClientCall &call, MonotonicTime now)
+{
+    if (dispatcher.jobs.ended.contains(call.job)) {
+        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok});
+        return;
+    }
+    Job *job = findJob(dispatcher.jobs, call.job);
+    if (job == nullptr) {
+        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::NoSuchJob});
+        return;
+    }
+    logLine(LogLevel::Info, logPart, "Cancel. job={} queue={} accepted={}", formatJobId(call.job),
+        job->record.queue.name, job->accepted);
+    job->waitingCancels.push_back(call.call);
+    if (job->accepted) {
+        endJob(dispatcher, *job, JobState::Cancelled, now);
+    }
+}
+
+void countPending(Dispatcher &dispatcher, const ClientCall &call)
+{
+    const auto pending = std::ranges::count_if(dispatcher.jobs.live, [&call](const auto &entry) {
+        const Job &job = *entry.second;
+        return job.accepted && !job.started && !isEnded(job.state) && job.record.queue.name == call.queue;
+    });
+    answer(dispatcher,
+        {.call = call.call, .outcome = ClientOutcome::Ok, .count = static_cast<std::uint64_t>(pending)});
+}
+
+void markEndsStored(Dispatcher &dispatcher, std::span<const UnstoredEnd> ends, MonotonicTime now)
+{
+    for (const UnstoredEnd &end : ends) {
+        Worker &worker = dispatcher.workers.workers[end.worker];
+        const auto found = worker.ends.find(end.number);
+        if (worker.entry.incarnation == end.incarnation && found != worker.ends.end()) {
+            found->second = true;
+        }
+        acknowledgeable(worker);
+        if (worker.ends.empty() && !worker.renewalOpen) {
+            worker.nextRenewal = std::min(worker.nextRenewal, now);
+        }
+    }
+}
+
+void takeAccepted(Dispatcher &dispatcher, Job &job, MonotonicTime now)
+{
+    job.accepted = true;
+    ++dispatcher.counters.accepted;
+    logLine(LogLevel::Info, logPart, "Job accepted. job={} queue={} steps={} tasks={} due_in_ms={}",
+        formatJobId(job.record.id), job.record.queue.name, job.record.spec.steps.size(),
+        job.record.spec.steps.front().count, std::chrono::floor<milliseconds>(job.dueBy - now).count());
+    for (const CallId call : job.waitingSubmits) {
+        answer(dispatcher, {.call = call, .outcome = ClientOutcome::Ok});
+    }
+    job.waitingSubmits.clear();
+    dispatcher.placementDue = true;
+    if (!job.waitingCancels.empty()) {
+        endJob(dispatcher, job, JobState::Cancelled, now);
+    }
+}
+
+void takeEndStored(Dispatcher &dispatcher, Job &job, MonotonicTime now)
+{
+    job.endStored = true;
+    markEndsStored(dispatcher, job.unstoredEnds, now);
+    for (const CallId call : job.waitingCancels) {
+        answer(dispatcher, {.call = call, .outcome = ClientOutcome::Ok});
+    }
+    const JobId id = job.record.id;
+    dispatcher.jobs.ended[id] = job.state;
+    dispatcher.jobs.endedOrder.emplace_back(now, id);
+    dispatcher.unstoredJobs.erase(id);
+    dispatcher.jobs.live.erase(id);
+}
+
+void takeStored(Dispatcher &dispatcher, const CommitTag &tag, MonotonicTime now)
+{
+    Job *job = findJob(dispatcher.jobs, tag.job);
+    if (job == nullptr) {
+        return;
+    }
+    if (tag.kind == CommitKind::Accept) {
+        takeAccepted(dispatcher, *job, now);
+        return;
+    }
+    job->commitOpen = false;
+    markEndsStored(dispatcher, job->endsBeingStored, now);
+    job->endsBeingStored.clear();
+    if (tag.kind == CommitKind::End) {
+        takeEndStored(dispatcher, *job, now);
+    } else {
+        job->progressStored = true;
+    }
+}
+
+/// Submissions that were never sent to the store are refused while it is away, which is true: they will not run.
+void refuseUnsentJobs(Dispatcher &dispatcher, MonotonicTime now)
+{
+    if (!storeIsAway(dispatcher, now, storePatience)) {
+        return;
+    }
+    std::vector<JobId> refused;
+    std::erase_if(dispatcher.commits.waiting, [&refused](const Commit &commit) {
+        if (commit.tag.kind == CommitKind::Accept) {
+            refused.push_back(commit.tag.job);
+        }
+        return commit.tag.kind == CommitKind::Accept;
+    });
+    for (const JobId id : refused) {
+        const Job *job = findJob(dispatcher.jobs, id);
+        for (const CallId call : job->waitingSubmits) {
+            refuse(dispatcher, {.call = call, .kind = ClientCallKind::Submit, .queue = job->record.queue.name, .job = id},
+                outageRetryAfter, "store away");
+        }
+        for (const CallId call : job->waitingCancels) {
+            answer(dispatcher, {.call = call, .outcome = ClientOutcome::NoSuchJob});
+        }
+        dispatcher.jobs.live.erase(id);
+    }
+}
+
+void keepEndLease(Dispatcher &dispatcher, MonotonicTime now)
+{
+    const bool isGood = dispatcher.commits.endLease != 0 && now < dispatcher.endLeaseUntil;
+    if (isGood || dispatcher.endLeaseCall != 0 || now < dispatcher.endLeaseRetryAt) {
+        return;
+    }
+    dispatcher.endLeaseCall = dispatcher.outbox->newCall();
+    dispatcher.outbox->add(StoreOpenLease{
+        .call = dispatcher.endLeaseCall, .timeToLive = dispatcher.bounds.keepEnded + endLeaseSpare});
+}
+
+void startOccurrences(Dispatcher &dispatcher, Now now)
+{
+    for (auto &[id, job] : dispatcher.jobs.live) {
+        const JobSpec &spec = job->record.spec;
+        while (spec.repeatCount > job->nextOccurrence && !isEnded(job->state)
+            && spec.firstDue + spec.interval * job->nextOccurrence <= now.wall) {
+            job->occurrences.push_back(makeOccurrence(spec, job->nextOccurrence++));
+            dispatcher.placementDue = true;
+        }
+    }
+}
+
+void forgetEnded(Dispatcher &dispatcher, MonotonicTime now)
+{
+    const auto keepUntil = [&](const auto &entry) { return entry.first + dispatcher.bounds.keepEnded + endLeaseSpare; };
+    auto last = dispatcher.jobs.endedOrder.begin();
+    while (last != dispatcher.jobs.endedOrder.end() && keepUntil(*last) < now) {
+        dispatcher.jobs.ended.erase(last->second);
+        ++last;
+    }
+    dispatcher.jobs.endedOrder.erase(dispatcher.jobs.endedOrder.begin(), last);
+}
+
+} // namespace
+
+void setConfiguration(Dispatcher &dispatcher, const Configuration &configuration)
+{
+    dispatcher.configuration = configuration;
+    dispatcher.placementDue = true;
+}
+
+void takeClientCall(Dispatcher &dispatcher, const ClientCall &call, Now now)
+{
+    if (dispatcher.deposed) {
+        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::NotLeader});
+        return;
+    }
+    const bool isKnown
+        = dispatcher.jobs.live.contains(call.job) || dispatcher.jobs.ended.contains(call.job);
+    if (!dispatcher.endsLoaded && !isKnown && call.kind != ClientCallKind::CountPending) {
+        dispatcher.deferredCalls.push_back(call);
+        return;
+    }
+    switch (call.kind) {
+    case ClientCallKind::Submit:
+        submit(dispatcher, call, now);
+        return;
+    case ClientCallKind::Query:
+        query(dispatcher, call, now.monotonic);
+        return;
+    case ClientCallKind::Cancel:
+        cancel(dispatcher, call, now.monotonic);
+        return;
+    case ClientCallKind::CountPending:
+        countPending(dispatcher, call);
+        return;
+    }
+}
+
+bool takeStoreReply(Dispatcher &dispatcher, const StoreReply &reply, MonotonicTime now)
+{
+    if (reply.call == dispatcher.endLeaseCall) {
+        dispatcher.endLeaseCall = 0;
+        if (reply.status == CallStatus::Ok) {
+            dispatcher.commits.endLease = reply.lease;
+            dispatcher.endLeaseUntil = now + endLeaseSpare / 2;
+        } else {
+            dispatcher.endLeaseRetryAt = now + endLeaseRetry;
+        }
+        return true;
+    }
+    CommitStream *stream = findStream(dispatcher.commits, reply.call);
+    if (stream == nullptr) {
+        return false;
+    }
+    std::vector<CommitTag> stored;
+    switch (takeCommitReply(dispatcher.commits, *stream, reply, now, stored)) {
+    case CommitResult::Stored:
+        for (const CommitTag &tag : stored) {
+            takeStored(dispatcher, tag, now);
+        }
+        break;
+    case CommitResult::Deposed:
+        logLine(LogLevel::Warning, logPart, "Another leader has written to the store. token={}", dispatcher.token);
+        dispatcher.deposed = true;
+        break;
+    case CommitResult::LeaseGone:
+        dispatcher.commits.endLease = 0;
+        break;
+    case CommitResult::Retry:
+        break;
+    }
+    return true;
+}
+
+void doUpkeep(Dispatcher &dispatcher, Now now)
+{
+    if (dispatcher.deposed) {
+        return;
+    }
+    if (now.monotonic >= dispatcher.nextSupervision) {
+        dispatcher.nextSupervision = now.monotonic + supervisionInterval;
+        superviseWorkers(dispatcher, now.monotonic);
+        settleInheritance(dispatcher, now.monotonic);
+        startOccurrences(dispatcher, now);
+        refuseUnsentJobs(dispatcher, now.monotonic);
+        forgetEnded(dispatcher, now.monotonic);
+        dispatcher.placementDue = true;
+    }
+    if (dispatcher.endsLoaded && !dispatcher.deferredCalls.empty()) {
+        for (const ClientCall &call : std::exchange(dispatcher.deferredCalls, {})) {
+            takeClientCall(dispatcher, call, now);
+        }
+    }
+    if (dispatcher.placementDue) {
+        placeTasks(dispatcher, now.monotonic);
+    }
+    renewWorkers(dispatcher, now.monotonic);
+    keepEndLease(dispatcher, now.monotonic);
+    std::vector<JobId> settled;
+    for (const JobId id : dispatcher.unstoredJobs) {
+        Job *job = findJob(dispatcher.jobs, id);
+        if (job == nullptr) {
+            settled.push_back(id);
+            continue;
+        }
+        queueJobCommits(dispatcher, *job, now.monotonic);
+        if (!job->progressChanged && !isEnded(job->state)) {
+            settled.push_back(id);
+        }
+    }
+    for (const JobId id : settled) {
+        dispatcher.unstoredJobs.erase(id);
+    }
+    if (dispatcher.commits.endLease != 0) {
+        sendCommits(dispatcher.commits, *dispatcher.outbox, now.monotonic);
+    }
+}
+
+void inheritJob(Dispatcher &dispatcher, const JobRecord &record, std::string_view progress, Now now)
+{
+    Job &job = addJob(dispatcher, record, now);
+    job.accepted = true;
+    job.inherited = true;
+    if (progress.empty()) {
+        return;
+    }
+    job.progressStored = true;
+    job.started = true;
+    job.state = JobState::Running;
+    std::string problem;
+    if (!applyProgress(job, progress, problem)) {
+        logLine(LogLevel::Error, logPart, "A record of progress can't be read. job={} problem={}",
+            formatJobId(record.id), problem);
+    }
+    dispatcher.unstoredJobs.insert(record.id);
+}
+
+void inheritEnd(Dispatcher &dispatcher, JobId id, JobState state, MonotonicTime now)
+{
+    if (!dispatcher.jobs.live.contains(id) && dispatcher.jobs.ended.try_emplace(id, state).second) {
+        dispatcher.jobs.endedOrder.emplace_back(now, id);
+    }
+}
+
+void settleInheritance(Dispatcher &dispatcher, MonotonicTime now)
+{
+    if (dispatcher.inheritanceSettled) {
+        return;
+    }
+    const auto hasAnswered = [](const Worker &worker) { return worker.greeted || !worker.listed; };
+    const bool known = !dispatcher.workers.workers.empty()
+        && std::ranges::all_of(dispatcher.workers.workers, hasAnswered);
+    if (known || now >= dispatcher.inheritanceSettlesAt) {
+        dispatcher.inheritanceSettled = true;
+        dispatcher.placementDue = true;
+        logLine(LogLevel::Info, logPart, "Inherited jobs are settled. jobs={} every_worker_answered={}",
+            dispatcher.jobs.live.size(), known);
+    }
+}
+
+} // namespace wigeonkeel::dispatch
--- /dev/null
+++ b/core/dispatch/dispatcher.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "core/dispatch/advice_lines.h"
+#include "core/dispatch/commit_streams.h"
+#include "core/dispatch/configuration.h"
+#include "core/dispatch/job_table.h"
+#include "core/dispatch/outbox.h"
+#include "core/dispatch/worker_table.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <deque>
+#include <span>
+#include <string>
+
+namespace wigeonkeel::dispatch
+{
+
+/// Bounds of the platform that the decisions keep to.
+struct DispatchBounds
+{
+    /// Longest lease that a worker grants.
+    milliseconds maxWorkerLease{6000};
+    /// A worker needs at most this long for a stop.
+    milliseconds stopTime{900};
+    /// Members of a gang that wait longer for the others end.
+    milliseconds gangTimeout{3000};
+    /// Ended jobs are known to clients for at least this long.
+    milliseconds keepEnded{120000};
+    /// A start may come at most this much before its time.
+    milliseconds earlyStart{250};
+};
+
+struct OpenOrder
+{
+    bool isStart = true;
+    WorkerSlot worker = noWorker;
+    std::int64_t incarnation = 0;
+    TaskKey task;
+    std::uint32_t attempt = 0;
+    /// Token that the order carried; a claim that was written again has a higher one.
+    std::uint64_t token = 0;
+};
+
+struct DispatchCounters
+{
+    std::uint64_t accepted = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t jobsDone = 0;
+    std::uint64_t jobsFailed = 0;
+    std::uint64_t jobsCancelled = 0;
+    std::uint64_t startsOrdered = 0;
+    std::uint64_t startsUnanswered = 0;
+    std::uint64_t startsRefused = 0;
+    std::uint64_t runsDone = 0;
+    std::uint64_t runsFailed = 0;
+    std::uint64_t runsLost = 0;
+    std::uint64_t preempted = 0;
+    std::uint64_t gangsUndone = 0;
+    std::uint64_t stalled = 0;
+    std::uint64_t renewals = 0;
+    std::uint64_t adviceAsked = 0;
+    std::uint64_t commits = 0;
+};
+
+/// The leader's state: all jobs, all workers, and what was ordered. Only the daemon that holds the claim has one.
+struct Dispatcher
+{
+    DispatchBounds bounds;
+    /// Fencing token of all orders.
+    std::uint64_t token = 0;
+    Configuration configuration;
+    JobTable jobs;
+    WorkerTable workers;
+    Advisor advisor;
+    CommitQueue commits;
+    absl::flat_hash_map<CallId, OpenOrder> orders;
+    absl::flat_hash_map<CallId, WorkerSlot> renewals;
+    Outbox *outbox = nullptr;
+    /// Until then, or until every worker has answered, inherited jobs are not started: their runs may be anywhere.
+    MonotonicTime inheritanceSettlesAt{};
+    bool inheritanceSettled = true;
+    /// All records of ended jobs were read, so that an unknown id is surely new.
+    bool endsLoaded = false;
+    /// Another leader was seen; nothing more is ordered.
+    bool deposed = false;
+    /// Something changed that may let a task start.
+    bool placementDue = false;
+    MonotonicTime nextSupervision{};
+    /// Jobs whose record of progress or end is due.
+    absl::flat_hash_set<JobId> unstoredJobs;
+    /// Calls that wait until the records of ended jobs are read.
+    std::vector<ClientCall> deferredCalls;
+    CallId endLeaseCall = 0;
+    MonotonicTime endLeaseUntil{};
+    MonotonicTime endLeaseRetryAt{};
+    DispatchCounters counters;
+};
+
+// --- events ---
+
+void setConfiguration(Dispatcher &dispatcher, const Configuration &configuration);
+
+/// The directory's present list. Workers that are missing get no more starts.
+void updateWorkers(Dispatcher &dispatcher, std::span<const WorkerEntry> entries, MonotonicTime now);
+
+void takeOrderReply(Dispatcher &dispatcher, const OrderReply &reply, MonotonicTime now);
+void takeRenewReply(Dispatcher &dispatcher, const RenewReply &reply, MonotonicTime now);
+void takeAdvice(Dispatcher &dispatcher, const AdviceReply &reply, MonotonicTime now);
+/// False if the reply belongs to no transaction of this dispatcher.
+bool takeStoreReply(Dispatcher &dispatcher, const StoreReply &reply, MonotonicTime now);
+
+/// Renews leases, resolves orders without an answer, ends reservations, stores what is due.
+void doUpkeep(Dispatcher &dispatcher, Now now);
+/// Starts what can start.
+void placeTasks(Dispatcher &dispatcher, MonotonicTime now);
+
+/// Answers now or, for what has to be stored, once it is stored.
+void takeClientCall(Dispatcher &dispatcher, const ClientCall &call, Now now);
+
+/// Jobs of a former leader, from the store. Their runs are learned from the workers.
+void inheritJob(Dispatcher &dispatcher, const JobRecord &record, std::string_view progress, Now now);
+void inheritEnd(Dispatcher &dispatcher, JobId id, JobState state, MonotonicTime now);
+
+/// What a takeover found in the workers settles the inherited jobs.
+void settleInheritance(Dispatcher &dispatcher, MonotonicTime now);
+
+} // namespace wigeonkeel::dispatch
--- /dev/null
+++ b/core/dispatch/job_table.cpp
@@ -0,0 +1,64 @@
+#include "core/dispatch/job_table.h"
+
+#include <algorithm>
+
+namespace wigeonkeel::dispatch
+{
+
+Job *findJob(JobTable &table, JobId id)
+{
+    const auto found = table.live.find(id);
+    return found == table.live.end() ? nullptr : found->second.get();
+}
+
+Occurrence *findOccurrence(Job &job, std::uint32_t number)
+{
+    const auto found = std::ranges::find(job.occurrences, number, &Occurrence::number);
+    return found == job.occurrences.end() ? nullptr : &*found;
+}
+
+StepRun *findStep(Job &job, const StepKey &key)
+{
+    Occurrence *occurrence = findOccurrence(job, key.occurrence);
+    return occurrence == nullptr || key.step >= occurrence->steps.size() ? nullptr : &occurrence->steps[key.step];
+}
+
+Occurrence makeOccurrence(const JobSpec &spec, std::uint32_t number)
+{
+    Occurrence occurrence{
+        .number = number, .steps = {}, .stepsLeft = static_cast<std::uint32_t>(spec.steps.size())};
+    for (const StepSpec &step : spec.steps) {
+        StepRun run;
+        run.tasks.resize(step.count);
+        run.remaining = step.count;
+        run.waiting = step.count;
+        occurrence.steps.push_back(std::move(run));
+    }
+    openSteps(spec, occurrence);
+    return occurrence;
+}
+
+void openSteps(const JobSpec &spec, Occurrence &occurrence)
+{
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        occurrence.steps[i].open = std::ranges::all_of(
+            spec.steps[i].after, [&](std::uint32_t before) { return occurrence.steps[before].remaining == 0; });
+    }
+}
+
+milliseconds longestChain(const JobSpec &spec)
+{
+    std::vector<milliseconds> until;
+    milliseconds longest{0};
+    for (const StepSpec &step : spec.steps) {
+        milliseconds start{0};
+        for (const std::uint32_t before : step.after) {
+            start = std::max(start, until[before]);
+        }
+        until.push_back(start + step.estimate);
+        longest = std::max(longest, until.back());
+    }
+    return longest;
+}
+
+} // namespace wigeonkeel::dispatch
--- /dev/null
+++ b/core/dispatch/leadership.cpp
@@ -0,0 +1,599 @@
+#include "core/dispatch/leadership.h"
+
+#include "core/dispatch/records.h"
+#include "core/log.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <fmt/format.h>
+
+namespace wigeonkeel::dispatch
+{
+
+namespace
+{
+
+constexpr std::string_view logPart = "leader";
+constexpr std::string_view controlPrefix = "wk/ctl/";
+constexpr std::string_view claimKey = "wk/ctl/leader";
+/// The claim is renewed three times in its life, so that one lost answer changes nothing.
+constexpr milliseconds claimLease{1500};
+constexpr milliseconds keepInterval{450};
+constexpr milliseconds keepRetry{150};
+/// Followers look for the claim at this interval; at the longer one while the leader is heard.
+constexpr milliseconds pollInterval{400};
+constexpr milliseconds calmPollInterval{1500};
+/// A leader that was heard this recently may still renew a claim that vanished.
+constexpr milliseconds heardRecently{700};
+/// Time that a live leader has to claim again after its claim vanished.
+constexpr milliseconds reclaimTime{1000};
+/// Claims of several followers are spread by their rank, so that mostly one call is made.
+constexpr milliseconds claimSpacing{60};
+constexpr milliseconds claimJitter{30};
+/// A takeover that takes longer starts again.
+constexpr milliseconds takeoverTimeout{3000};
+constexpr milliseconds claimRetry{200};
+/// Leases of workers that can't be reached end within the longest lease, by a clock that may be 2% slow; a former
+/// leader's last order may have been on its way.
+constexpr double clockSlack = 1.02;
+constexpr milliseconds inheritanceMargin{500};
+/// A leader that can't be reached by most daemons that the store lists makes room for another.
+constexpr milliseconds isolationTime{1200};
+constexpr milliseconds leadingGrace{3000};
+constexpr milliseconds resignedPause{4000};
+
+void setPhase(Node &node, ClaimPhase phase, MonotonicTime now)
+{
+    node.leadership.phase = phase;
+    node.leadership.phaseSince = now;
+}
+
+CallId storeCall(Node &node, StorePurpose purpose)
+{
+    const CallId call = node.outbox.newCall();
+    node.storeCalls.emplace(call, purpose);
+    return call;
+}
+
+std::string encodeClaim(const Node &node)
+{
+    return fmt::format("{} {} {}", node.options.name, node.options.endpoint.ip, node.options.endpoint.port);
+}
+
+LeaderInfo decodeClaim(const StoreItem &item)
+{
+    LeaderInfo leader{.token = item.revision, .node = {}, .endpoint = {}};
+    const auto first = item.value.find(' ');
+    const auto second = item.value.find(' ', first + 1);
+    if (first == std::string::npos || second == std::string::npos) {
+        return {};
+    }
+    leader.node = item.value.substr(0, first);
+    leader.endpoint.ip = item.value.substr(first + 1, second - first - 1);
+    std::from_chars(item.value.data() + second + 1, item.value.data() + item.value.size(), leader.endpoint.port);
+    return leader;
+}
+
+const StoreItem *findItem(std::span<const StoreItem> items, std::string_view key)
+{
+    const auto found = std::ranges::find(items, key, &StoreItem::key);
+    return found == items.end() || found->revision == 0 ? nullptr : &*found;
+}
+
+milliseconds claimDelay(Node &node)
+{
+    const auto isBefore = [&node](const Member &member) {
+        return std::pair(-member.cpuMilli, std::string_view(member.name))
+            < std::pair(-node.options.cpuMilli, std::string_view(node.options.name));
+    };
+    const auto rank = std::ranges::count_if(node.membership.members, [&](const Member &member) {
+        return member.name != node.leadership.leader.node && isBefore(member);
+    });
+    const auto jitter = milliseconds(randomBelow(node.random, static_cast<std::uint64_t>(claimJitter.count())));
+    return claimSpacing * rank + jitter;
+}
+
+void scheduleClaim(Node &node, MonotonicTime now)
+{
+    Leadership &leadership = node.leadership;
+    if (leadership.claimAt == MonotonicTime::max()) {
+        leadership.claimAt = std::max(now + claimDelay(node), leadership.noClaimUntil);
+    }
+}
+
+void readControl(Node &node, StorePurpose purpose, bool mayBeStale)
+{
+    node.outbox.add(StoreRange{
+        .call = storeCall(node, purpose), .prefix = std::string(controlPrefix), .after = {}, .mayBeStale = mayBeStale});
+}
+
+void beginClaim(Node &node, MonotonicTime now)
+{
+    node.leadership.claimAt = MonotonicTime::max();
+    setPhase(node, ClaimPhase::ReadingControl, now);
+    readControl(node, StorePurpose::ClaimControl, false);
+}
+
+void abandonClaim(Node &node, MonotonicTime now)
+{
+    setPhase(node, ClaimPhase::Following, now);
+    node.leadership.loadedJobs.clear();
+    node.leadership.loadedProgress.clear();
+    node.leadership.claimAt = MonotonicTime::max();
+    node.leadership.noClaimUntil = now + claimRetry;
+    node.leadership.nextPoll = now + claimRetry;
+}
+
+void takePoll(Node &node, const StoreReply &reply, Now now)
+{
+    Leadership &leadership = node.leadership;
+    leadership.pollOpen = false;
+    if (reply.status != CallStatus::Ok) {
+        return;
+    }
+    const StoreItem *claim = findItem(reply.items, claimKey);
+    if (claim == nullptr) {
+        if (!leadership.claimMissing) {
+            leadership.claimMissing = true;
+            leadership.claimMissingSince = now.monotonic;
+        }
+        leadership.nextPoll = now.monotonic + claimRetry;
+        return;
+    }
+    leadership.claimMissing = false;
+    followLeader(node, decodeClaim(*claim), now);
+}
+
+/// Before the claim, the control keys were read without staleness.
+void takeControl(Node &node, const StoreReply &reply, Now now)
+{
+    Leadership &leadership = node.leadership;
+    if (leadership.phase != ClaimPhase::ReadingControl) {
+        return;
+    }
+    if (reply.status != CallStatus::Ok) {
+        abandonClaim(node, now.monotonic);
+        return;
+    }
+    const StoreItem *claim = findItem(reply.items, claimKey);
+    if (claim != nullptr) {
+        const LeaderInfo present = decodeClaim(*claim);
+        const bool isGone = leadership.leaderRefused && present.token == leadership.leader.token;
+        const bool isOwn = present.node == node.options.name;
+        if (!isGone && !isOwn) {
+            abandonClaim(node, now.monotonic);
+            leadership.claimMissing = false;
+            followLeader(node, present, now);
+            return;
+        }
+    }
+    leadership.control = reply.items;
+    setPhase(node, ClaimPhase::OpeningLease, now.monotonic);
+    node.outbox.add(StoreOpenLease{.call = storeCall(node, StorePurpose::ClaimLease), .timeToLive = claimLease});
+}
+
+std::uint64_t revisionOf(const Leadership &leadership, std::string_view key)
+{
+    const StoreItem *item = findItem(leadership.control, key);
+    return item == nullptr ? 0 : item->revision;
+}
+
+void writeClaim(Node &node, const StoreReply &reply, Now now)
+{
+    Leadership &leadership = node.leadership;
+    if (leadership.phase != ClaimPhase::OpeningLease) {
+        return;
+    }
+    if (reply.status != CallStatus::Ok) {
+        abandonClaim(node, now.monotonic);
+        return;
+    }
+    leadership.lease = reply.lease;
+    leadership.keptAt = now.monotonic;
+    StoreTransaction claim{.call = storeCall(node, StorePurpose::ClaimWrite),
+        .conditions = {{.key = std::string(claimKey), .revision = revisionOf(leadership, claimKey)}},
+        .writes = {{.key = std::string(claimKey), .value = encodeClaim(node), .lease = reply.lease}},
+        .deletes = {},
+        .timeout = claimLease / 2};
+    for (std::size_t stream = 0; stream < commitStreamCount; ++stream) {
+        const std::string key = chainKey(stream);
+        claim.conditions.push_back({.key = key, .revision = revisionOf(leadership, key)});
+        claim.writes.push_back({.key = key, .value = fmt::format("claim {}", node.options.name)});
+    }
+    setPhase(node, ClaimPhase::WritingClaim, now.monotonic);
+    node.outbox.add(std::move(claim));
+}
+
+void loadPage(Node &node, StorePurpose purpose, std::string_view prefix)
+{
+    node.outbox.add(StoreRange{
+        .call = storeCall(node, purpose), .prefix = std::string(prefix), .after = node.leadership.loadAfter});
+}
+
+void makeDispatcher(Node &node, std::uint64_t token, MonotonicTime now)
+{
+    node.dispatcher = std::make_unique<Dispatcher>();
+    Dispatcher &dispatcher = *node.dispatcher;
+    dispatcher.bounds = node.options.bounds;
+    dispatcher.token = token;
+    dispatcher.outbox = &node.outbox;
+    dispatcher.commits.token = token;
+    for (std::size_t stream = 0; stream < commitStreamCount; ++stream) {
+        dispatcher.commits.streams.at(stream).key = chainKey(stream);
+        dispatcher.commits.streams.at(stream).revision = token;
+    }
+    setConfiguration(dispatcher, node.configuration);
+    const auto lease = std::chrono::duration<double, std::milli>(node.options.bounds.maxWorkerLease) * clockSlack;
+    dispatcher.inheritanceSettlesAt = now + std::chrono::ceil<milliseconds>(lease) + inheritanceMargin;
+}
+
+void takeClaimResult(Node &node, const StoreReply &reply, Now now)
+{
+    Leadership &leadership = node.leadership;
+    if (leadership.phase != ClaimPhase::WritingClaim) {
+        return;
+    }
+    if (reply.status != CallStatus::Ok) {
+        logLine(LogLevel::Info, logPart, "Claim failed. status={}", static_cast<int>(reply.status));
+        abandonClaim(node, now.monotonic);
+        return;
+    }
+    logLine(LogLevel::Info, logPart, "Claim written. token={} former={} former_token={}", reply.revision,
+        leadership.leader.node, leadership.leader.token);
+    leadership.leader
+        = {.token = reply.revision, .node = node.options.name, .endpoint = node.options.endpoint};
+    leadership.leaderConnected = false;
+    leadership.leaderRefused = false;
+    leadership.claimMissing = false;
+    leadership.nextKeep = now.monotonic;
+    node.dialled = {};
+    node.outbox.add(DialNode{});
+    makeDispatcher(node, reply.revision, now.monotonic);
+    leadership.loadAfter.clear();
+    setPhase(node, ClaimPhase::LoadingJobs, now.monotonic);
+    loadPage(node, StorePurpose::LoadJobs, jobPrefix);
+    node.nextPresence = now.monotonic;
+}
+
+void loadWorkers(Node &node, Now now)
+{
+    setPhase(node, ClaimPhase::LoadingWorkers, now.monotonic);
+    node.workerPoll.open = false;
+    node.workerPoll.next = now.monotonic;
+}
+
+/// One page of jobs or of their progress.
+void takePage(Node &node, const StoreReply &reply, Now now, ClaimPhase phase, StorePurpose purpose,
+    std::string_view prefix, void (*takeItem)(Node &node, const StoreItem &item), void (*next)(Node &node, Now now))
+{
+    if (node.leadership.phase != phase) {
+        return;
+    }
+    if (reply.status != CallStatus::Ok) {
+        // The same page again; the claim's own renewal decides whether this daemon still leads.
+        loadPage(node, purpose, prefix);
+        return;
+    }
+    for (const StoreItem &item : reply.items) {
+        takeItem(node, item);
+        node.leadership.loadAfter = item.key;
+    }
+    if (reply.morePages && !reply.items.empty()) {
+        loadPage(node, purpose, prefix);
+        return;
+    }
+    node.leadership.loadAfter.clear();
+    next(node, now);
+}
+
+void takeJobItem(Node &node, const StoreItem &item)
+{
+    std::string problem;
+    auto record = decodeJobRecord(item.value, problem);
+    if (!record) {
+        logLine(LogLevel::Error, logPart, "A job's record can't be read. key={} problem={}", item.key, problem);
+        return;
+    }
+    node.leadership.loadedJobs[record->id] = std::move(*record);
+}
+
+void takeProgressItem(Node &node, const StoreItem &item)
+{
+    const auto id = jobOfKey(item.key, progressPrefix);
+    if (id) {
+        node.leadership.loadedProgress[*id] = item.value;
+    }
+}
+
+void takeEndItem(Node &node, const StoreItem &item, MonotonicTime now)
+{
+    const auto id = jobOfKey(item.key, endPrefix);
+    const auto state = decodeEnd(item.value);
+    if (id && state) {
+        inheritEnd(*node.dispatcher, *id, *state, now);
+    }
+}
+
+void takeEndsPage(Node &node, const StoreReply &reply, Now now)
+{
+    if (!node.dispatcher || node.dispatcher->endsLoaded) {
+        return;
+    }
+    if (reply.status != CallStatus::Ok) {
+        loadPage(node, StorePurpose::LoadEnds, endPrefix);
+        return;
+    }
+    for (const StoreItem &item : reply.items) {
+        takeEndItem(node, item, now.monotonic);
+        node.leadership.loadAfter = item.key;
+    }
+    if (reply.morePages && !reply.items.empty()) {
+        loadPage(node, StorePurpose::LoadEnds, endPrefix);
+        return;
+    }
+    node.dispatcher->endsLoaded = true;
+    logLine(LogLevel::Info, logPart, "Records of ended jobs are read. jobs={}", node.dispatcher->jobs.ended.size());
+}
+
+void takeKept(Node &node, const StoreReply &reply, Now now)
+{
+    Leadership &leadership = node.leadership;
+    leadership.keepOpen = false;
+    if (!isLeading(node) && leadership.phase < ClaimPhase::LoadingJobs) {
+        return;
+    }
+    if (reply.status == CallStatus::Ok) {
+        leadership.keptAt = now.monotonic;
+        leadership.nextKeep = now.monotonic + keepInterval;
+        return;
+    }
+    leadership.nextKeep = now.monotonic + keepRetry;
+    if (reply.status == CallStatus::NotFound && !leadership.reclaiming) {
+        // The lease ended while the store was away, or was revoked. Unless another daemon was faster, the claim is
+        // written again; the chains show whether one was.
+        logLine(LogLevel::Warning, logPart, "The claim's lease has ended and is claimed again. token={}",
+            leadership.leader.token);
+        leadership.reclaiming = true;
+        node.outbox.add(StoreOpenLease{.call = storeCall(node, StorePurpose::ReclaimLease), .timeToLive = claimLease});
+    }
+}
+
+void takeReclaimLease(Node &node, const StoreReply &reply, Now now)
+{
+    Leadership &leadership = node.leadership;
+    if (!node.dispatcher || reply.status != CallStatus::Ok) {
+        leadership.reclaiming = false;
+        leadership.nextKeep = now.monotonic + keepRetry;
+        return;
+    }
+    leadership.lease = reply.lease;
+    node.outbox.add(StoreTransaction{.call = storeCall(node, StorePurpose::ReclaimWrite),
+        .conditions = {{.key = std::string(claimKey), .revision = 0}},
+        .writes = {{.key = std::string(claimKey), .value = encodeClaim(node), .lease = reply.lease}},
+        .deletes = {},
+        .timeout = claimLease / 2});
+}
+
+void takeReclaimed(Node &node, const StoreReply &reply, Now now)
+{
+    Leadership &leadership = node.leadership;
+    leadership.reclaiming = false;
+    if (!node.dispatcher) {
+        return;
+    }
+    leadership.nextKeep = now.monotonic;
+    if (reply.status == CallStatus::Ok) {
+        // Orders go on under the new token; the chains go on with the old one, which is only compared.
+        leadership.leader.token = reply.revision;
+        node.dispatcher->token = reply.revision;
+        node.nextPresence = now.monotonic;
+        logLine(LogLevel::Info, logPart, "Claim written again. token={}", reply.revision);
+        return;
+    }
+    if (reply.status != CallStatus::Conflict) {
+        return;
+    }
+    const StoreItem *claim = findItem(reply.items, claimKey);
+    if (claim == nullptr) {
+        return;
+    }
+    const LeaderInfo present = decodeClaim(*claim);
+    if (present.node == node.options.name) {
+        // The write before took effect without an answer.
+        leadership.leader.token = present.token;
+        node.dispatcher->token = present.token;
+        return;
+    }
+    followLeader(node, present, now);
+}
+
+/// Fewer than half of the daemons that the store lists can reach this leader.
+bool isIsolated(const Node &node)
+{
+    const std::size_t others = node.membership.members.empty() ? 0 : node.membership.members.size() - 1;
+    return others >= 2 && node.connectedNodes.size() * 2 < others;
+}
+
+void watchFollowers(Node &node, Now now)
+{
+    Leadership &leadership = node.leadership;
+    if (!isIsolated(node) || now.monotonic - leadership.leadingSince < leadingGrace) {
+        leadership.followersMissingSince = MonotonicTime::max();
+        return;
+    }
+    leadership.followersMissingSince = std::min(leadership.followersMissingSince, now.monotonic);
+    if (now.monotonic - leadership.followersMissingSince > isolationTime) {
+        stepDown(node, "most daemons can't reach this one", now);
+    }
+}
+
+void tickLeader(Node &node, Now now)
+{
+    Leadership &leadership = node.leadership;
+    if (!leadership.keepOpen && !leadership.reclaiming && now.monotonic >= leadership.nextKeep) {
+        leadership.keepOpen = true;
+        node.outbox.add(
+            StoreKeepLease{.call = storeCall(node, StorePurpose::KeepLeadership), .lease = leadership.lease});
+    }
+    if (leadership.phase == ClaimPhase::Leading) {
+        watchFollowers(node, now);
+    }
+}
+
+void tickFollower(Node &node, Now now)
+{
+    Leadership &leadership = node.leadership;
+    const bool heard = leadership.leaderConnected && now.monotonic - leadership.leaderHeardAt < heardRecently;
+    if (!leadership.pollOpen && now.monotonic >= leadership.nextPoll) {
+        leadership.pollOpen = true;
+        leadership.nextPoll = now.monotonic + (heard ? calmPollInterval : pollInterval);
+        readControl(node, StorePurpose::ControlPoll, heard);
+    }
+    const bool abandoned = leadership.claimMissing
+        && (!heard || now.monotonic - leadership.claimMissingSince > reclaimTime);
+    if ((abandoned || leadership.leaderRefused) && !node.shuttingDown && node.hasConfiguration) {
+        scheduleClaim(node, now.monotonic);
+    } else {
+        leadership.claimAt = MonotonicTime::max();
+    }
+    if (now.monotonic >= leadership.claimAt) {
+        beginClaim(node, now.monotonic);
+    }
+}
+
+} // namespace
+
+void dialLeader(Node &node)
+{
+    const Endpoint &wanted = node.leadership.leader.endpoint;
+    if (isLeading(node) || wanted.ip.empty() || wanted == node.options.endpoint || node.dialled == wanted) {
+        return;
+    }
+    node.dialled = wanted;
+    node.outbox.add(DialNode{.endpoint = wanted});
+}
+
+void followLeader(Node &node, const LeaderInfo &leader, Now now)
+{
+    Leadership &leadership = node.leadership;
+    if (leader.token <= leadership.leader.token) {
+        return;
+    }
+    if (leader.node == node.options.name && leadership.phase == ClaimPhase::Following) {
+        // A claim of this daemon's former process; it may be replaced.
+        leadership.claimMissing = true;
+        leadership.claimMissingSince = now.monotonic;
+        return;
+    }
+    logLine(LogLevel::Info, logPart, "Follows. leader={} token={} before={}", leader.node, leader.token,
+        leadership.leader.token);
+    if (node.dispatcher || leadership.phase != ClaimPhase::Following) {
+        stepDown(node, "another daemon has claimed leadership", now);
+    }
+    leadership.leader = leader;
+    leadership.leaderConnected = false;
+    leadership.leaderRefused = false;
+    leadership.claimMissing = false;
+    leadership.claimAt = MonotonicTime::max();
+    for (auto &[call, entry] : node.entries) {
+        entry.sent = false;
+    }
+    dialLeader(node);
+}
+
+void stepDown(Node &node, std::string_view why, Now now)
+{
+    Leadership &leadership = node.leadership;
+    logLine(LogLevel::Warning, logPart, "Leads no longer. token={} reason={}", leadership.leader.token, why);
+    if (leadership.lease != 0) {
+        node.outbox.add(StoreEndLease{.call = storeCall(node, StorePurpose::Ignored), .lease = leadership.lease});
+        leadership.lease = 0;
+    }
+    node.dispatcher.reset();
+    node.forwarded.clear();
+    for (auto &[call, entry] : node.entries) {
+        entry.sent = false;
+    }
+    leadership.reclaiming = false;
+    leadership.keepOpen = false;
+    abandonClaim(node, now.monotonic);
+    leadership.noClaimUntil = now.monotonic + resignedPause;
+    node.nextPresence = now.monotonic;
+}
+
+void finishTakeover(Node &node, Now now)
+{
+    Leadership &leadership = node.leadership;
+    for (auto &[id, record] : leadership.loadedJobs) {
+        const auto progress = leadership.loadedProgress.find(id);
+        inheritJob(*node.dispatcher, record,
+            progress == leadership.loadedProgress.end() ? std::string_view() : std::string_view(progress->second), now);
+    }
+    logLine(LogLevel::Info, logPart, "Leads. token={} jobs={} workers={} takeover_ms={}", leadership.leader.token,
+        leadership.loadedJobs.size(), node.dispatcher->workers.workers.size(),
+        std::chrono::floor<milliseconds>(now.monotonic - leadership.keptAt).count());
+    node.dispatcher->inheritanceSettled = leadership.loadedJobs.empty();
+    leadership.loadedJobs.clear();
+    leadership.loadedProgress.clear();
+    leadership.leadingSince = now.monotonic;
+    setPhase(node, ClaimPhase::Leading, now.monotonic);
+    loadPage(node, StorePurpose::LoadEnds, endPrefix);
+}
+
+void tickLeadership(Node &node, Now now)
+{
+    Leadership &leadership = node.leadership;
+    if (leadership.phase >= ClaimPhase::LoadingJobs) {
+        tickLeader(node, now);
+        return;
+    }
+    if (leadership.phase == ClaimPhase::Following) {
+        tickFollower(node, now);
+    } else if (now.monotonic - leadership.phaseSince > takeoverTimeout) {
+        abandonClaim(node, now.monotonic);
+    }
+}
+
+bool takeLeadershipReply(Node &node, StorePurpose purpose, const StoreReply &reply, Now now)
+{
+    switch (purpose) {
+    case StorePurpose::ControlPoll:
+        takePoll(node, reply, now);
+        return true;
+    case StorePurpose::ClaimControl:
+        takeControl(node, reply, now);
+        return true;
+    case StorePurpose::ClaimLease:
+        writeClaim(node, reply, now);
+        return true;
+    case StorePurpose::ClaimWrite:
+        takeClaimResult(node, reply, now);
+        return true;
+    case StorePurpose::LoadJobs:
+        takePage(node, reply, now, ClaimPhase::LoadingJobs, purpose, jobPrefix, takeJobItem, [](Node &owner, Now at) {
+            setPhase(owner, ClaimPhase::LoadingProgress, at.monotonic);
+            loadPage(owner, StorePurpose::LoadProgress, progressPrefix);
+        });
+        return true;
+    case StorePurpose::LoadProgress:
+        takePage(node, reply, now, ClaimPhase::LoadingProgress, purpose, progressPrefix, takeProgressItem, loadWorkers);
+        return true;
+    case StorePurpose::LoadEnds:
+        takeEndsPage(node, reply, now);
+        return true;
+    case StorePurpose::KeepLeadership:
+        takeKept(node, reply, now);
+        return true;
+    case StorePurpose::ReclaimLease:
+        takeReclaimLease(node, reply, now);
+        return true;
+    case StorePurpose::ReclaimWrite:
+        takeReclaimed(node, reply, now);
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace wigeonkeel::dispatch
--- /dev/null
+++ b/core/dispatch/messages.h
@@ -0,0 +1,331 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/dispatch/configuration.h"
+#include "core/dispatch/job_spec.h"
+#include "core/resources.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace wigeonkeel::dispatch
+{
+
+/// Pairs a call with its reply; unique in a process.
+using CallId = std::uint64_t;
+
+struct Endpoint
+{
+    std::string ip;
+    std::uint16_t port = 0;
+
+    bool operator==(const Endpoint &) const = default;
+};
+
+/// How a call ended.
+enum class CallStatus : std::uint8_t {
+    Ok,
+    /// Refused by a condition: a revision of the store, a fencing token of a worker.
+    Conflict,
+    NotFound,
+    /// Refused for its rate or because the other side is unwell; nothing was done.
+    Refused,
+    /// Surely not executed: no connection could be made.
+    Unreachable,
+    /// May have been executed, or may be executed later.
+    Unknown,
+};
+
+// --- the platform's store ---
+
+struct StoreItem
+{
+    std::string key;
+    std::string value;
+    /// Of the last change; 0 if the key does not exist.
+    std::uint64_t revision = 0;
+};
+
+/// Reads one page of the keys with a prefix.
+struct StoreRange
+{
+    CallId call = 0;
+    std::string prefix;
+    /// The page begins after this key; empty for the first.
+    std::string after;
+    /// May be seconds old and costs a tenth.
+    bool mayBeStale = false;
+};
+
+struct StoreCondition
+{
+    std::string key;
+    /// Revision that the key must have; 0: it must not exist.
+    std::uint64_t revision = 0;
+};
+
+struct StoreWrite
+{
+    std::string key;
+    std::string value;
+    /// The key is removed with this lease; 0 for none.
+    std::uint64_t lease = 0;
+};
+
+/// All or nothing; at most `maxTransactionEntries` in all.
+struct StoreTransaction
+{
+    CallId call = 0;
+    std::vector<StoreCondition> conditions;
+    std::vector<StoreWrite> writes;
+    std::vector<std::string> deletes;
+    milliseconds timeout{0};
+};
+
+inline constexpr std::size_t maxTransactionEntries = 32;
+
+struct StoreOpenLease
+{
+    CallId call = 0;
+    milliseconds timeToLive{0};
+};
+
+struct StoreKeepLease
+{
+    CallId call = 0;
+    std::uint64_t lease = 0;
+};
+
+struct StoreEndLease
+{
+    CallId call = 0;
+    std::uint64_t lease = 0;
+};
+
+struct StoreReply
+{
+    CallId call = 0;
+    CallStatus status = CallStatus::Unknown;
+    /// Items of a range, or the present items of failed conditions.
+    std::vector<StoreItem> items;
+    /// The store's revision at the time of the call, or that of a transaction.
+    std::uint64_t revision = 0;
+    bool morePages = false;
+    std::uint64_t lease = 0;
+    milliseconds timeToLive{0};
+};
+
+// --- workers ---
+
+/// One life of a worker that an order is meant for.
+struct WorkerTarget
+{
+    std::string id;
+    Endpoint endpoint;
+    /// Unix milliseconds of the worker's start; any other life refuses the order. 0 if not known yet.
+    std::int64_t incarnation = 0;
+};
+
+struct StartRun
+{
+    CallId call = 0;
+    WorkerTarget worker;
+    TaskKey task;
+    std::uint32_t attempt = 1;
+    std::string payload;
+    std::string checkpoint;
+    std::string ticket;
+    std::uint64_t fencingToken = 0;
+    WorkerTime leaseUntil{};
+    milliseconds timeout{0};
+};
+
+struct StopRun
+{
+    CallId call = 0;
+    WorkerTarget worker;
+    TaskKey task;
+    std::uint32_t attempt = 1;
+    std::uint64_t fencingToken = 0;
+    milliseconds timeout{0};
+};
+
+/// Extends the lease of everything that runs on a worker and reads its lists.
+struct RenewWorker
+{
+    CallId call = 0;
+    WorkerTarget worker;
+    std::uint64_t fencingToken = 0;
+    /// Ends up to this number are forgotten by the worker.
+    std::uint64_t acknowledged = 0;
+    /// Not sent if zero.
+    WorkerTime leaseUntil{};
+    /// The worker answers when a run ends, at the latest after this time.
+    milliseconds wait{0};
+    milliseconds timeout{0};
+};
+
+enum class StartRefusal : std::uint8_t { None, Fenced, OldAttempt, Late, NoRoom, Ticket, Unwell, WrongIncarnation, Invalid };
+
+struct OrderReply
+{
+    CallId call = 0;
+    CallStatus status = CallStatus::Unknown;
+    StartRefusal refusal = StartRefusal::None;
+};
+
+enum class RunEnd : std::uint8_t { Done, Failed, Stopped, LeaseLapsed, GangBroken, GangAlone };
+
+struct RunningTask
+{
+    TaskKey task;
+    std::uint32_t attempt = 0;
+    std::string checkpoint;
+    int percent = 0;
+};
+
+struct EndedTask
+{
+    std::uint64_t number = 0;
+    TaskKey task;
+    std::uint32_t attempt = 0;
+    RunEnd end = RunEnd::Failed;
+    std::string checkpoint;
+};
+
+struct RenewReply
+{
+    CallId call = 0;
+    CallStatus status = CallStatus::Unknown;
+    StartRefusal refusal = StartRefusal::None;
+    std::int64_t incarnation = 0;
+    WorkerTime clock{};
+    std::vector<RunningTask> running;
+    std::vector<EndedTask> ended;
+};
+
+/// What a worker says of itself in the store.
+struct WorkerEntry
+{
+    std::string id;
+    Endpoint endpoint;
+    std::string pool;
+    std::string zone;
+    std::int64_t incarnation = 0;
+    bool draining = false;
+    /// Least time until a draining worker leaves.
+    milliseconds leavesIn{0};
+    Resources capacity;
+    std::vector<std::string> labels;
+    /// Empty if none of the labels names a rack.
+    std::string rack;
+};
+
+// --- settings and the worker directory ---
+
+/// Reads the operator's settings.
+struct ReadConfiguration
+{
+    CallId call = 0;
+};
+
+/// Waits for a change of the operator's settings.
+struct WatchConfiguration
+{
+    CallId call = 0;
+    std::uint64_t after = 0;
+    milliseconds wait{0};
+};
+
+struct ConfigurationReply
+{
+    CallId call = 0;
+    CallStatus status = CallStatus::Unknown;
+    /// Nothing if there is none, or no change.
+    std::optional<Configuration> configuration;
+    std::uint64_t revision = 0;
+};
+
+/// Reads the whole worker directory.
+struct ReadWorkers
+{
+    CallId call = 0;
+};
+
+struct WorkersReply
+{
+    CallId call = 0;
+    CallStatus status = CallStatus::Unknown;
+    std::vector<WorkerEntry> workers;
+    /// Entries that name no worker to use, because they can't be read.
+    std::uint32_t unreadable = 0;
+};
+
+// --- the placement adviser ---
+
+struct AskAdvice
+{
+    CallId call = 0;
+    StepKey step;
+    std::vector<std::string> workers;
+    milliseconds timeout{0};
+};
+
+struct Ticket
+{
+    std::string worker;
+    std::string ticket;
+};
+
+struct AdviceReply
+{
+    CallId call = 0;
+    CallStatus status = CallStatus::Unknown;
+    std::vector<Ticket> allowed;
+    milliseconds validity{0};
+};
+
+// --- clients ---
+
+enum class ClientCallKind : std::uint8_t { Submit, Query, Cancel, CountPending };
+
+/// What a client wants, after routing.
+struct ClientCall
+{
+    CallId call = 0;
+    ClientCallKind kind = ClientCallKind::Query;
+    std::string queue;
+    JobId job = 0;
+    /// Encoded JobRecord of a submission.
+    std::string record;
+};
+
+enum class ClientOutcome : std::uint8_t {
+    Ok,
+    /// The job does not exist.
+    NoSuchJob,
+    /// Not accepted, and never will be under this call.
+    Refused,
+    /// The job can't run on any worker.
+    Impossible,
+    /// The outcome could not be learned in time; the client may ask again.
+    Unknown,
+    /// This daemon doesn't lead; the caller asks the leader.
+    NotLeader,
+};
+
+enum class JobState : std::uint8_t { Queued, Running, Done, Failed, Cancelled };
+
+struct ClientAnswer
+{
+    CallId call = 0;
+    ClientOutcome outcome = ClientOutcome::Unknown;
+    JobState state = JobState::Queued;
+    std::uint64_t count = 0;
+    milliseconds retryAfter{0};
+};
+
+} // namespace wigeonkeel::dispatch
--- /dev/null
+++ b/core/dispatch/node.cpp
@@ -0,0 +1,531 @@
+#include "core/dispatch/node.h"
+
+#include "core/dispatch/leadership.h"
+#include "core/log.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace wigeonkeel::dispatch
+{
+
+namespace
+{
+
+constexpr std::string_view logPart = "node";
+constexpr std::string_view memberPrefix = "wk/node/";
+/// A watch is held back this long: a connection that went silent is noticed within this and the call's slack, below
+/// the 2 s in which a change has to be in force.
+constexpr milliseconds configWait{1300};
+constexpr milliseconds configRetry{200};
+/// Entries of daemons in the store live this long without a renewal.
+constexpr milliseconds memberLease{6000};
+constexpr milliseconds memberKeepInterval{2000};
+constexpr milliseconds memberRetry{500};
+constexpr milliseconds memberListInterval{2000};
+/// The leader reads the worker directory at this interval; a draining worker must get no start after 2 s.
+constexpr milliseconds workerPollInterval{600};
+constexpr milliseconds workerPollRetry{150};
+constexpr milliseconds presenceInterval{300};
+/// A call that no leader could be given is refused after this: a takeover takes less than a second.
+constexpr milliseconds leaderPatience{1100};
+constexpr milliseconds noLeaderRetryAfter{1000};
+/// The answer leaves this long before the client gives up.
+constexpr milliseconds answerMargin{150};
+/// Without word from the leader for this long, the daemon is not ready for new connections.
+constexpr milliseconds readyWithoutLeader{3000};
+
+void setReady(Node &node, bool ready)
+{
+    if (node.ready != ready) {
+        node.ready = ready;
+        node.outbox.add(ReadinessChanged{.ready = ready});
+        logLine(LogLevel::Info, logPart, "Readiness changed. ready={} config_version={} leader={}", ready,
+            node.configuration.version, node.leadership.leader.node);
+    }
+}
+
+Presence presenceOf(const Node &node)
+{
+    return {.node = node.options.name,
+        .leader = node.leadership.phase == ClaimPhase::Following && node.leadership.leader.node == node.options.name
+            ? LeaderInfo{}
+            : node.leadership.leader,
+        .configVersion = node.configuration.version};
+}
+
+void giveToLeader(Node &node, EntryCall &entry, Now now)
+{
+    if (isLeading(node)) {
+        entry.sent = true;
+        entry.everSent = true;
+        takeClientCall(*node.dispatcher, entry.call, now);
+    } else if (node.leadership.leaderConnected) {
+        entry.sent = true;
+        entry.everSent = true;
+        node.outbox.add(SendToNode{.node = node.leadership.leader.node, .body = ForwardedCall{.call = entry.call}});
+    }
+}
+
+void giveWaitingCalls(Node &node, Now now)
+{
+    for (auto &[call, entry] : node.entries) {
+        if (!entry.sent) {
+            giveToLeader(node, entry, now);
+        }
+    }
+}
+
+void finishEntry(Node &node, CallId call, ClientAnswer answer)
+{
+    const auto found = node.entries.find(call);
+    if (found == node.entries.end()) {
+        return;
+    }
+    if (answer.outcome == ClientOutcome::NotLeader) {
+        found->second.sent = false;
+        return;
+    }
+    node.outbox.add(AnswerClient{.kind = found->second.call.kind, .answer = answer});
+    node.entries.erase(found);
+}
+
+/// Answers calls whose time is up, or that no leader can take.
+void expireEntries(Node &node, Now now)
+{
+    std::vector<ClientAnswer> expired;
+    for (const auto &[call, entry] : node.entries) {
+        const bool late = now.monotonic >= entry.deadline - answerMargin;
+        const bool leaderless = !entry.everSent && now.monotonic - entry.takenAt > leaderPatience;
+        if (late && entry.everSent) {
+            expired.push_back({.call = call, .outcome = ClientOutcome::Unknown});
+        } else if (late || leaderless) {
+            expired.push_back(
+                {.call = call, .outcome = ClientOutcome::Refused, .retryAfter = noLeaderRetryAfter});
+        }
+    }
+    for (const ClientAnswer &answer : expired) {
+        logLine(LogLevel::Info, logPart, "Call ends without the leader. call={} outcome={} leader={} job={}", answer.call,
+            answer.outcome == ClientOutcome::Refused ? "refused" : "unknown", node.leadership.leader.node,
+            formatJobId(node.entries.at(answer.call).call.job));
+        finishEntry(node, answer.call, answer);
+    }
+}
+
+void tickConfig(Node &node, Now now)
+{
+    ConfigWatch &watch = node.configWatch;
+    if (watch.callOpen || now.monotonic < watch.nextCall) {
+        return;
+    }
+    watch.callOpen = true;
+    watch.call = node.outbox.newCall();
+    if (watch.revision == 0) {
+        node.outbox.add(ReadConfiguration{.call = watch.call});
+    } else {
+        node.outbox.add(WatchConfiguration{.call = watch.call, .after = watch.revision, .wait = configWait});
+    }
+}
+
+CallId memberCall(Node &node, StorePurpose purpose)
+{
+    const CallId call = node.outbox.newCall();
+    node.storeCalls.emplace(call, purpose);
+    return call;
+}
+
+void tickMembership(Node &node, Now now)
+{
+    Membership &membership = node.membership;
+    if (!membership.callOpen && now.monotonic >= membership.nextStep) {
+        membership.callOpen = true;
+        if (membership.lease == 0) {
+            node.outbox.add(
+                StoreOpenLease{.call = memberCall(node, StorePurpose::MemberLease), .timeToLive = memberLease});
+        } else if (!membership.written) {
+            node.outbox.add(StoreTransaction{.call = memberCall(node, StorePurpose::MemberWrite),
+                .conditions = {},
+                .writes = {{.key = fmt::format("{}{}", memberPrefix, node.options.name),
+                    .value = fmt::format("{}", node.options.cpuMilli),
+                    .lease = membership.lease}},
+                .deletes = {},
+                .timeout = memberRetry});
+        } else {
+            node.outbox.add(
+                StoreKeepLease{.call = memberCall(node, StorePurpose::MemberKeep), .lease = membership.lease});
+        }
+    }
+    if (now.monotonic >= membership.nextList) {
+        membership.nextList = now.monotonic + memberListInterval;
+        node.outbox.add(StoreRange{.call = memberCall(node, StorePurpose::MemberList),
+            .prefix = std::string(memberPrefix),
+            .after = {},
+            .mayBeStale = true});
+    }
+}
+
+void takeMemberReply(Node &node, StorePurpose purpose, const StoreReply &reply, Now now)
+{
+    Membership &membership = node.membership;
+    membership.callOpen = false;
+    const bool ok = reply.status == CallStatus::Ok;
+    membership.nextStep = now.monotonic + (ok && purpose != StorePurpose::MemberKeep ? milliseconds(0) : memberRetry);
+    if (ok && purpose == StorePurpose::MemberLease) {
+        membership.lease = reply.lease;
+        membership.written = false;
+    } else if (ok && purpose == StorePurpose::MemberWrite) {
+        membership.written = true;
+        membership.nextStep = now.monotonic + memberKeepInterval;
+    } else if (ok) {
+        membership.nextStep = now.monotonic + memberKeepInterval;
+    } else if (reply.status == CallStatus::NotFound) {
+        membership.lease = 0;
+        membership.written = false;
+    }
+}
+
+void takeMemberList(Node &node, const StoreReply &reply)
+{
+    if (reply.status != CallStatus::Ok) {
+        return;
+    }
+    node.membership.members.clear();
+    for (const StoreItem &item : reply.items) {
+        node.membership.members.push_back({.name = item.key.substr(memberPrefix.size()),
+            .cpuMilli = std::strtoll(item.value.c_str(), nullptr, 10)});
+    }
+}
+
+void tickWorkers(Node &node, Now now)
+{
+    if (!node.dispatcher || node.leadership.phase < ClaimPhase::LoadingWorkers || node.workerPoll.open
+        || now.monotonic < node.workerPoll.next) {
+        return;
+    }
+    node.workerPoll.open = true;
+    node.workerPoll.call = node.outbox.newCall();
+    node.outbox.add(ReadWorkers{.call = node.workerPoll.call});
+}
+
+void sendPresence(Node &node, Now now)
+{
+    if (now.monotonic < node.nextPresence) {
+        return;
+    }
+    node.nextPresence = now.monotonic + presenceInterval;
+    const Presence presence = presenceOf(node);
+    for (const std::string &name : node.connectedNodes) {
+        node.outbox.add(SendToNode{.node = name, .body = presence});
+    }
+}
+
+void refreshAdviceLines(Node &node)
+{
+    if (!node.dispatcher) {
+        return;
+    }
+    std::vector<std::string> lines{""};
+    lines.insert(lines.end(), node.connectedNodes.begin(), node.connectedNodes.end());
+    setAdviceLines(node.dispatcher->advisor, lines);
+}
+
+void dialSeed(Node &node)
+{
+    if (node.options.seeds.empty()) {
+        return;
+    }
+    const Endpoint &seed = node.options.seeds[randomBelow(node.random, node.options.seeds.size())];
+    if (!(seed == node.options.endpoint) && !(seed == node.dialled)) {
+        node.dialled = seed;
+        node.outbox.add(DialNode{.endpoint = seed});
+    }
+}
+
+void tickReadiness(Node &node, Now now)
+{
+    const bool led = isLeading(node) || now.monotonic - node.leadership.leaderHeardAt < readyWithoutLeader;
+    setReady(node, node.hasConfiguration && led && !node.shuttingDown);
+}
+
+void takePresence(Node &node, std::string_view from, const Presence &presence, Now now)
+{
+    Leadership &leadership = node.leadership;
+    if (from == leadership.leader.node && !isLeading(node)) {
+        if (presence.leader.token == 0 && leadership.leaderConnected) {
+            // The leader has resigned; its claim is gone or about to be.
+            leadership.leaderConnected = false;
+            leadership.claimMissing = true;
+            leadership.claimMissingSince = now.monotonic;
+        } else {
+            leadership.leaderHeardAt = now.monotonic;
+        }
+    }
+    followLeader(node, presence.leader, now);
+    if (presence.configVersion > node.configuration.version) {
+        // The other daemon has newer settings: this one's watch may hang on a silent connection.
+        node.configWatch.revision = 0;
+        node.configWatch.callOpen = false;
+        node.configWatch.nextCall = std::min(node.configWatch.nextCall, now.monotonic);
+    }
+}
+
+void takeForwarded(Node &node, std::string_view from, const ForwardedCall &forwarded, Now now)
+{
+    const ClientCall &remote = forwarded.call;
+    if (!isLeading(node)) {
+        node.outbox.add(SendToNode{.node = std::string(from),
+            .body = ForwardedAnswer{.answer = {.call = remote.call, .outcome = ClientOutcome::NotLeader}}});
+        return;
+    }
+    ClientCall own = remote;
+    own.call = node.outbox.newCall();
+    node.forwarded.emplace(own.call, ForwardedFrom{.node = std::string(from), .remoteCall = remote.call});
+    takeClientCall(*node.dispatcher, own, now);
+}
+
+void takeAdviceOrder(Node &node, std::string_view from, const AdviceOrder &order)
+{
+    AskAdvice own = order.ask;
+    own.call = node.outbox.newCall();
+    node.adviceOrders.emplace(own.call, ForwardedFrom{.node = std::string(from), .remoteCall = order.ask.call});
+    node.outbox.add(std::move(own));
+}
+
+} // namespace
+
+bool isLeading(const Node &node)
+{
+    return node.dispatcher != nullptr && node.leadership.phase == ClaimPhase::Leading;
+}
+
+void takeConfiguration(Node &node, const ConfigurationReply &reply, Now now)
+{
+    ConfigWatch &watch = node.configWatch;
+    if (reply.call != watch.call) {
+        return;
+    }
+    watch.callOpen = false;
+    if (reply.status != CallStatus::Ok) {
+        // History that is gone, or a connection that failed: the whole is read again.
+        watch.revision = 0;
+        watch.nextCall = now.monotonic + configRetry;
+        return;
+    }
+    watch.revision = std::max(watch.revision, reply.revision);
+    watch.nextCall = now.monotonic;
+    if (!reply.configuration) {
+        watch.nextCall = node.hasConfiguration ? now.monotonic : now.monotonic + configRetry;
+        return;
+    }
+    // A stale reply never takes settings back.
+    if (node.hasConfiguration && reply.configuration->version <= node.configuration.version) {
+        return;
+    }
+    logLine(LogLevel::Info, logPart, "Configuration in force. version={} before={} queues={} revision={}",
+        reply.configuration->version, node.configuration.version, reply.configuration->queues.size(), reply.revision);
+    node.configuration = *reply.configuration;
+    node.hasConfiguration = true;
+    node.outbox.add(LimitsChanged{.limits = node.configuration.limits});
+    if (node.dispatcher) {
+        setConfiguration(*node.dispatcher, node.configuration);
+    }
+    node.nextPresence = now.monotonic;
+}
+
+void takeStoreReply(Node &node, const StoreReply &reply, Now now)
+{
+    const auto found = node.storeCalls.find(reply.call);
+    if (found == node.storeCalls.end()) {
+        if (node.dispatcher) {
+            takeStoreReply(*node.dispatcher, reply, now.monotonic);
+        }
+        return;
+    }
+    const StorePurpose purpose = found->second;
+    node.storeCalls.erase(found);
+    if (takeLeadershipReply(node, purpose, reply, now)) {
+        return;
+    }
+    if (purpose == StorePurpose::MemberList) {
+        takeMemberList(node, reply);
+    } else if (purpose != StorePurpose::Ignored) {
+        takeMemberReply(node, purpose, reply, now);
+    }
+}
+
+void takeWorkers(Node &node, const WorkersReply &reply, Now now)
+{
+    if (!node.dispatcher || reply.call != node.workerPoll.call) {
+        return;
+    }
+    node.workerPoll.open = false;
+    if (reply.status != CallStatus::Ok) {
+        node.workerPoll.next = now.monotonic + workerPollRetry;
+        return;
+    }
+    node.workerPoll.next = now.monotonic + workerPollInterval;
+    updateWorkers(*node.dispatcher, reply.workers, now.monotonic);
+    if (node.leadership.phase == ClaimPhase::LoadingWorkers) {
+        finishTakeover(node, now);
+        refreshAdviceLines(node);
+        giveWaitingCalls(node, now);
+    }
+}
+
+void takeOrderReply(Node &node, const OrderReply &reply, Now now)
+{
+    if (node.dispatcher) {
+        takeOrderReply(*node.dispatcher, reply, now.monotonic);
+    }
+}
+
+void takeRenewReply(Node &node, const RenewReply &reply, Now now)
+{
+    if (node.dispatcher) {
+        takeRenewReply(*node.dispatcher, reply, now.monotonic);
+    }
+}
+
+void takeAdviceReply(Node &node, const AdviceReply &reply, Now now)
+{
+    const auto order = node.adviceOrders.find(reply.call);
+    if (order != node.adviceOrders.end()) {
+        AdviceReply remote = reply;
+        remote.call = order->second.remoteCall;
+        node.outbox.add(SendToNode{.node = order->second.node, .body = AdviceResult{.reply = std::move(remote)}});
+        node.adviceOrders.erase(order);
+    } else if (node.dispatcher) {
+        takeAdvice(*node.dispatcher, reply, now.monotonic);
+    }
+}
+
+void takeClient(Node &node, ClientCall call, milliseconds timeLeft, Now now)
+{
+    const CallId id = call.call;
+    EntryCall &entry = node.entries[id];
+    entry = {.call = std::move(call), .takenAt = now.monotonic, .deadline = now.monotonic + timeLeft};
+    giveToLeader(node, entry, now);
+}
+
+void takePeerMessage(Node &node, std::string_view from, const PeerBody &body, Now now)
+{
+    if (from == node.leadership.leader.node) {
+        node.leadership.leaderHeardAt = now.monotonic;
+    }
+    if (const auto *presence = std::get_if<Presence>(&body)) {
+        takePresence(node, from, *presence, now);
+    } else if (const auto *forwarded = std::get_if<ForwardedCall>(&body)) {
+        takeForwarded(node, from, *forwarded, now);
+    } else if (const auto *answered = std::get_if<ForwardedAnswer>(&body)) {
+        finishEntry(node, answered->answer.call, answered->answer);
+    } else if (const auto *order = std::get_if<AdviceOrder>(&body)) {
+        takeAdviceOrder(node, from, *order);
+    } else if (const auto *result = std::get_if<AdviceResult>(&body)) {
+        takeAdviceReply(node, result->reply, now);
+    }
+}
+
+void nodeConnected(Node &node, std::string_view name, Now now)
+{
+    if (std::ranges::find(node.connectedNodes, name) == node.connectedNodes.end()) {
+        node.connectedNodes.emplace_back(name);
+    }
+    node.outbox.add(SendToNode{.node = std::string(name), .body = presenceOf(node)});
+    refreshAdviceLines(node);
+    if (name == node.leadership.leader.node) {
+        node.leadership.leaderConnected = true;
+        node.leadership.leaderRefused = false;
+        node.leadership.leaderHeardAt = now.monotonic;
+        giveWaitingCalls(node, now);
+    }
+    logLine(LogLevel::Info, logPart, "Daemon connected. node={} connected={}", name, node.connectedNodes.size());
+}
+
+void nodeDisconnected(Node &node, std::string_view name, Now now)
+{
+    std::erase(node.connectedNodes, name);
+    refreshAdviceLines(node);
+    if (name == node.leadership.leader.node) {
+        node.leadership.leaderConnected = false;
+        node.leadership.nextPoll = std::min(node.leadership.nextPoll, now.monotonic);
+        for (auto &[call, entry] : node.entries) {
+            entry.sent = false;
+        }
+    }
+    logLine(LogLevel::Info, logPart, "Daemon lost. node={} connected={}", name, node.connectedNodes.size());
+}
+
+void dialFailed(Node &node, const Endpoint &endpoint, bool refused, Now)
+{
+    node.dialled = {};
+    Leadership &leadership = node.leadership;
+    if (endpoint == leadership.leader.endpoint && !leadership.leaderConnected) {
+        leadership.leaderRefused = leadership.leaderRefused || refused;
+    }
+}
+
+void tick(Node &node, Now now)
+{
+    tickConfig(node, now);
+    tickMembership(node, now);
+    tickLeadership(node, now);
+    tickWorkers(node, now);
+    if (node.dispatcher) {
+        doUpkeep(*node.dispatcher, now);
+        if (node.dispatcher->deposed) {
+            stepDown(node, "a newer leader's orders or records were seen", now);
+        }
+    }
+    if (!isLeading(node) && !node.leadership.leaderConnected) {
+        if (node.leadership.leader.token == 0) {
+            dialSeed(node);
+        } else {
+            dialLeader(node);
+        }
+    }
+    giveWaitingCalls(node, now);
+    expireEntries(node, now);
+    sendPresence(node, now);
+    tickReadiness(node, now);
+}
+
+void beginShutdown(Node &node, Now now)
+{
+    logLine(LogLevel::Info, logPart, "Shutdown begins. leads={} open_calls={}", isLeading(node), node.entries.size());
+    node.shuttingDown = true;
+    if (node.dispatcher) {
+        stepDown(node, "shutdown", now);
+    }
+    if (node.membership.lease != 0) {
+        node.outbox.add(
+            StoreEndLease{.call = memberCall(node, StorePurpose::Ignored), .lease = node.membership.lease});
+    }
+    tickReadiness(node, now);
+    sendPresence(node, now);
+}
+
+std::vector<Action> takeActions(Node &node)
+{
+    std::vector<Action> actions;
+    for (Action &action : std::exchange(node.outbox.actions, {})) {
+        const auto *answered = std::get_if<LeaderAnswer>(&action);
+        if (answered == nullptr) {
+            actions.push_back(std::move(action));
+            continue;
+        }
+        ClientAnswer answer = answered->answer;
+        const auto forwarded = node.forwarded.find(answer.call);
+        if (forwarded == node.forwarded.end()) {
+            finishEntry(node, answer.call, answer);
+            continue;
+        }
+        answer.call = forwarded->second.remoteCall;
+        actions.emplace_back(SendToNode{.node = forwarded->second.node, .body = ForwardedAnswer{.answer = answer}});
+        node.forwarded.erase(forwarded);
+    }
+    std::ranges::move(std::exchange(node.outbox.actions, {}), std::back_inserter(actions));
+    return actions;
+}
+
+} // namespace wigeonkeel::dispatch
--- /dev/null
+++ b/core/dispatch/node.h
@@ -0,0 +1,201 @@
+#pragma once
+
+#include "core/dispatch/dispatcher.h"
+#include "core/dispatch/outbox.h"
+#include "core/routing/random.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wigeonkeel::dispatch
+{
+
+struct NodeOptions
+{
+    std::string name;
+    /// Where other daemons reach this one.
+    Endpoint endpoint;
+    /// Daemons that may know the leader while the store does not answer.
+    std::vector<Endpoint> seeds;
+    /// Processor share in thousandths; the largest VMs claim leadership first.
+    std::int64_t cpuMilli = 0;
+    DispatchBounds bounds;
+    /// Time that the platform grants to a process after it was told to end.
+    milliseconds shutdownGrace{6000};
+};
+
+/// Steps from follower to leader.
+enum class ClaimPhase : std::uint8_t {
+    Following,
+    ReadingControl,
+    OpeningLease,
+    WritingClaim,
+    LoadingJobs,
+    LoadingProgress,
+    LoadingWorkers,
+    Leading,
+};
+
+/// What a call to the store was for.
+enum class StorePurpose : std::uint8_t {
+    ControlPoll,
+    ClaimControl,
+    ClaimLease,
+    ClaimWrite,
+    LoadJobs,
+    LoadProgress,
+    LoadEnds,
+    KeepLeadership,
+    ReclaimLease,
+    ReclaimWrite,
+    MemberLease,
+    MemberWrite,
+    MemberKeep,
+    MemberList,
+    Ignored,
+};
+
+struct Leadership
+{
+    ClaimPhase phase = ClaimPhase::Following;
+    MonotonicTime phaseSince{};
+    LeaderInfo leader;
+    /// Last time that the leader's connection delivered something.
+    MonotonicTime leaderHeardAt{};
+    bool leaderConnected = false;
+    /// The leader's port refused a connection after the one before broke: its process is gone.
+    bool leaderRefused = false;
+    /// The claim vanished from the store.
+    bool claimMissing = false;
+    MonotonicTime claimMissingSince{};
+    MonotonicTime claimAt = MonotonicTime::max();
+    /// After resigning, others go first.
+    MonotonicTime noClaimUntil{};
+    MonotonicTime nextPoll{};
+    bool pollOpen = false;
+    // Of this daemon's own claim:
+    std::uint64_t lease = 0;
+    MonotonicTime keptAt{};
+    MonotonicTime nextKeep{};
+    bool keepOpen = false;
+    bool reclaiming = false;
+    std::vector<StoreItem> control;
+    std::string loadAfter;
+    std::map<JobId, JobRecord> loadedJobs;
+    std::map<JobId, std::string> loadedProgress;
+    MonotonicTime leadingSince{};
+    MonotonicTime followersMissingSince = MonotonicTime::max();
+};
+
+struct Member
+{
+    std::string name;
+    std::int64_t cpuMilli = 0;
+};
+
+struct Membership
+{
+    std::uint64_t lease = 0;
+    bool callOpen = false;
+    bool written = false;
+    MonotonicTime nextStep{};
+    MonotonicTime nextList{};
+    /// Daemons whose entries the store lists, this one included.
+    std::vector<Member> members;
+};
+
+struct ConfigWatch
+{
+    std::uint64_t revision = 0;
+    bool callOpen = false;
+    CallId call = 0;
+    MonotonicTime nextCall{};
+};
+
+/// A client's call that this daemon took.
+struct EntryCall
+{
+    ClientCall call;
+    MonotonicTime takenAt{};
+    MonotonicTime deadline{};
+    /// A leader may have it.
+    bool everSent = false;
+    /// The present leader has it.
+    bool sent = false;
+};
+
+/// A call of another daemon that this one, as the leader, is answering.
+struct ForwardedFrom
+{
+    std::string node;
+    CallId remoteCall = 0;
+};
+
+struct WorkerPoll
+{
+    bool open = false;
+    MonotonicTime next{};
+    CallId call = 0;
+};
+
+/// One daemon: follows or leads, and takes clients' calls.
+struct Node
+{
+    NodeOptions options;
+    Outbox outbox;
+    RandomState random;
+    Configuration configuration;
+    bool hasConfiguration = false;
+    ConfigWatch configWatch;
+    Leadership leadership;
+    Membership membership;
+    WorkerPoll workerPoll;
+    std::unique_ptr<Dispatcher> dispatcher;
+    absl::flat_hash_map<CallId, StorePurpose> storeCalls;
+    std::map<CallId, EntryCall> entries;
+    absl::flat_hash_map<CallId, ForwardedFrom> forwarded;
+    /// Questions to the adviser that the leader gave to this daemon.
+    absl::flat_hash_map<CallId, ForwardedFrom> adviceOrders;
+    /// Daemons that are connected, by name.
+    std::vector<std::string> connectedNodes;
+    MonotonicTime nextPresence{};
+    bool ready = false;
+    bool shuttingDown = false;
+    Endpoint dialled;
+};
+
+// --- events ---
+
+void takeConfiguration(Node &node, const ConfigurationReply &reply, Now now);
+void takeStoreReply(Node &node, const StoreReply &reply, Now now);
+void takeWorkers(Node &node, const WorkersReply &reply, Now now);
+void takeOrderReply(Node &node, const OrderReply &reply, Now now);
+void takeRenewReply(Node &node, const RenewReply &reply, Now now);
+void takeAdviceReply(Node &node, const AdviceReply &reply, Now now);
+
+/// A client's call, after routing; its answer comes as AnswerClient.
+void takeClient(Node &node, ClientCall call, milliseconds timeLeft, Now now);
+
+void takePeerMessage(Node &node, std::string_view from, const PeerBody &body, Now now);
+void nodeConnected(Node &node, std::string_view name, Now now);
+void nodeDisconnected(Node &node, std::string_view name, Now now);
+/// The dialled endpoint did not take the connection. `refused`: no process listens there.
+void dialFailed(Node &node, const Endpoint &endpoint, bool refused, Now now);
+
+/// Timers. Call often; each part has its own interval.
+void tick(Node &node, Now now);
+
+/// Gives up leadership and readiness; open calls are still answered.
+void beginShutdown(Node &node, Now now);
+
+/// Actions since the last call, with the answers to other daemons' clients sent on their way.
+std::vector<Action> takeActions(Node &node);
+
+bool isLeading(const Node &node);
+
+} // namespace wigeonkeel::dispatch
--- /dev/null
+++ b/core/dispatch/outbox.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/dispatch/messages.h"
+#include "core/dispatch/peer_messages.h"
+
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace wigeonkeel::dispatch
+{
+
+/// The answer to a client that waits at this daemon.
+struct AnswerClient
+{
+    ClientCallKind kind = ClientCallKind::Query;
+    ClientAnswer answer;
+};
+
+/// The leader's answer to a call, on its way to the daemon that took the call.
+struct LeaderAnswer
+{
+    ClientAnswer answer;
+};
+
+/// What the decisions ask the plug-ins to do.
+using Action = std::variant<StoreRange, StoreTransaction, StoreOpenLease, StoreKeepLease, StoreEndLease,
+    ReadConfiguration, WatchConfiguration, ReadWorkers, StartRun, StopRun, RenewWorker, AskAdvice, AnswerClient, LeaderAnswer, SendToNode, DialNode, ReadinessChanged, LimitsChanged>;
+
+/// Collects actions in the order in which they were decided, and numbers calls.
+struct Outbox
+{
+    std::vector<Action> actions;
+    CallId nextCall = 1;
+
+    CallId newCall() { return nextCall++; }
+    template <typename T>
+    void add(T &&action)
+    {
+        actions.emplace_back(std::forward<T>(action));
+    }
+};
+
+} // namespace wigeonkeel::dispatch
--- /dev/null
+++ b/core/dispatch/records.cpp
@@ -0,0 +1,290 @@
+#include "core/dispatch/records.h"
+
+#include "core/json_text.h"
+
+#include <algorithm>
+#include <array>
+
+#include <fmt/format.h>
+
+namespace wigeonkeel::dispatch
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+/// Numbers of the record's flags; stored as one bit set.
+enum StepFlag : std::uint32_t {
+    flagCheckpointed = 1,
+    flagGang = 2,
+    flagSameRack = 4,
+    flagSpeculative = 8,
+    flagLongRunning = 16,
+    flagFillsIdle = 32
+};
+
+std::uint32_t flagsOf(const StepSpec &step)
+{
+    return (step.checkpointed ? flagCheckpointed : 0) | (step.gang ? flagGang : 0)
+        | (step.sameRack ? flagSameRack : 0) | (step.speculative ? flagSpeculative : 0)
+        | (step.longRunning ? flagLongRunning : 0) | (step.fillsIdle ? flagFillsIdle : 0);
+}
+
+Json toJson(const StepSpec &step)
+{
+    Json json = {{"n", step.count}, {"cpu", step.size.cpuMilli}, {"mem", step.size.memoryMib},
+        {"est", step.estimate.count()}, {"flags", flagsOf(step)}};
+    if (step.size.accelerators != 0) {
+        json["acc"] = step.size.accelerators;
+    }
+    if (!step.after.empty()) {
+        json["after"] = step.after;
+    }
+    if (!step.requiredLabel.empty()) {
+        json["label"] = step.requiredLabel;
+    }
+    if (!step.dataRack.empty()) {
+        json["rack"] = step.dataRack;
+    }
+    if (step.maxPerWorker != 0) {
+        json["spread"] = step.maxPerWorker;
+    }
+    if (!step.image.empty()) {
+        json["image"] = step.image;
+    }
+    if (step.tailTarget.count() != 0) {
+        json["tail"] = step.tailTarget.count();
+    }
+    if (step.mayBeAway != 0) {
+        json["away"] = step.mayBeAway;
+    }
+    return json;
+}
+
+StepSpec stepFromJson(const Json &json)
+{
+    const auto flags = json.at("flags").get<std::uint32_t>();
+    return {.count = json.at("n").get<std::uint32_t>(),
+        .size = {.cpuMilli = json.at("cpu").get<std::int64_t>(),
+            .memoryMib = json.at("mem").get<std::int64_t>(),
+            .accelerators = json.value("acc", std::int64_t{0})},
+        .estimate = milliseconds(json.at("est").get<std::int64_t>()),
+        .after = json.value("after", std::vector<std::uint32_t>{}),
+        .requiredLabel = json.value("label", std::string()),
+        .dataRack = json.value("rack", std::string()),
+        .maxPerWorker = json.value("spread", 0U),
+        .checkpointed = (flags & flagCheckpointed) != 0,
+        .gang = (flags & flagGang) != 0,
+        .sameRack = (flags & flagSameRack) != 0,
+        .speculative = (flags & flagSpeculative) != 0,
+        .longRunning = (flags & flagLongRunning) != 0,
+        .fillsIdle = (flags & flagFillsIdle) != 0,
+        .image = json.value("image", std::string()),
+        .tailTarget = milliseconds(json.value("tail", std::int64_t{0})),
+        .mayBeAway = json.value("away", 0U)};
+}
+
+Json toJson(const QueueConfig &queue)
+{
+    Json json = {{"name", queue.name}, {"pool", queue.pool}, {"prio", queue.priority}, {"tries", queue.maxAttempts},
+        {"stretch", queue.stretch}, {"target", queue.target.count()}};
+    if (queue.advice) {
+        json["advice"]
+            = {queue.advice->base.count(), queue.advice->perWorker.count(), queue.advice->ticketValidity.count()};
+    }
+    return json;
+}
+
+QueueConfig queueFromJson(const Json &json)
+{
+    QueueConfig queue{.name = json.at("name").get<std::string>(),
+        .host = {},
+        .pathPrefix = {},
+        .pool = json.at("pool").get<std::string>(),
+        .priority = json.at("prio").get<std::uint32_t>(),
+        .maxAttempts = json.at("tries").get<std::uint32_t>(),
+        .stretch = json.at("stretch").get<double>(),
+        .target = milliseconds(json.at("target").get<std::int64_t>()),
+        .advice = {}};
+    if (json.contains("advice")) {
+        const Json &times = json.at("advice");
+        queue.advice = {.base = std::chrono::microseconds(times.at(0).get<std::int64_t>()),
+            .perWorker = std::chrono::microseconds(times.at(1).get<std::int64_t>()),
+            .ticketValidity = milliseconds(times.at(2).get<std::int64_t>())};
+    }
+    return queue;
+}
+
+/// [index, failures, attempt, checkpoint] for each task that has something to keep.
+Json tasksToJson(const StepRun &step)
+{
+    Json done = Json::array();
+    Json tried = Json::array();
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        const Task &task = step.tasks[i];
+        if (task.phase == TaskPhase::Done) {
+            done.push_back(i);
+        } else if (task.failures != 0 || task.attempt != 0) {
+            tried.push_back(Json::array({i, task.failures, task.attempt, task.checkpoint}));
+        }
+    }
+    Json json = {{"done", std::move(done)}, {"tried", std::move(tried)}};
+    if (step.gangFailures != 0) {
+        json["gang"] = step.gangFailures;
+    }
+    return json;
+}
+
+bool applyStep(StepRun &step, const Json &json)
+{
+    for (const Json &index : json.at("done")) {
+        const auto place = index.get<std::size_t>();
+        if (place >= step.tasks.size() || step.tasks[place].phase == TaskPhase::Done) {
+            return false;
+        }
+        step.tasks[place].phase = TaskPhase::Done;
+        --step.remaining;
+        --step.waiting;
+    }
+    for (const Json &row : json.at("tried")) {
+        const auto place = row.at(0).get<std::size_t>();
+        if (place >= step.tasks.size()) {
+            return false;
+        }
+        Task &task = step.tasks[place];
+        task.failures = row.at(1).get<std::uint32_t>();
+        task.attempt = row.at(2).get<std::uint32_t>();
+        task.checkpoint = row.at(3).get<std::string>();
+        step.gangAttempt = std::max(step.gangAttempt, task.attempt);
+    }
+    step.gangFailures = json.value("gang", 0U);
+    return true;
+}
+
+bool applyOccurrence(Job &job, const Json &json)
+{
+    Occurrence occurrence = makeOccurrence(job.record.spec, json.at("k").get<std::uint32_t>());
+    const Json &steps = json.at("steps");
+    if (steps.size() != occurrence.steps.size()) {
+        return false;
+    }
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+        if (!applyStep(occurrence.steps[i], steps.at(i))) {
+            return false;
+        }
+        occurrence.stepsLeft -= occurrence.steps[i].remaining == 0 ? 1 : 0;
+    }
+    openSteps(job.record.spec, occurrence);
+    job.occurrences.push_back(std::move(occurrence));
+    return true;
+}
+
+constexpr std::array<std::pair<JobState, std::string_view>, 3> endTexts
+    = {{{JobState::Done, "done"}, {JobState::Failed, "failed"}, {JobState::Cancelled, "cancelled"}}};
+
+} // namespace
+
+std::string jobKey(JobId id)
+{
+    return fmt::format("{}{:016x}", jobPrefix, id);
+}
+
+std::string progressKey(JobId id)
+{
+    return fmt::format("{}{:016x}", progressPrefix, id);
+}
+
+std::string endKey(JobId id)
+{
+    return fmt::format("{}{:016x}", endPrefix, id);
+}
+
+std::optional<JobId> jobOfKey(std::string_view key, std::string_view prefix)
+{
+    return key.starts_with(prefix) ? parseJobId(key.substr(prefix.size())) : std::nullopt;
+}
+
+std::string encodeJobRecord(const JobRecord &record)
+{
+    Json steps = Json::array();
+    for (const StepSpec &step : record.spec.steps) {
+        steps.push_back(toJson(step));
+    }
+    Json json = {{"id", formatJobId(record.id)}, {"queue", toJson(record.queue)},
+        {"at", record.submittedAt.time_since_epoch().count()}, {"payload", record.spec.payload},
+        {"steps", std::move(steps)}};
+    if (record.spec.repeatCount != 0) {
+        json["repeat"] = {record.spec.repeatCount, record.spec.firstDue.time_since_epoch().count(),
+            record.spec.interval.count()};
+    }
+    return dumpJson(json);
+}
+
+std::optional<JobRecord> decodeJobRecord(std::string_view text, std::string &problem)
+{
+    return decodeJson<JobRecord>(text, problem, [&problem](const Json &json) -> std::optional<JobRecord> {
+        const auto id = parseJobId(json.at("id").get<std::string>());
+        if (!id) {
+            problem = "expected 16 hexadecimal digits as id";
+            return std::nullopt;
+        }
+        JobRecord record{.id = *id,
+            .queue = queueFromJson(json.at("queue")),
+            .submittedAt = WallTime(milliseconds(json.at("at").get<std::int64_t>())),
+            .spec = {.payload = json.at("payload").get<std::string>()}};
+        for (const Json &step : json.at("steps")) {
+            record.spec.steps.push_back(stepFromJson(step));
+        }
+        if (json.contains("repeat")) {
+            const Json &repeat = json.at("repeat");
+            record.spec.repeatCount = repeat.at(0).get<std::uint32_t>();
+            record.spec.firstDue = WallTime(milliseconds(repeat.at(1).get<std::int64_t>()));
+            record.spec.interval = milliseconds(repeat.at(2).get<std::int64_t>());
+        }
+        return record;
+    });
+}
+
+std::string encodeProgress(const Job &job)
+{
+    Json occurrences = Json::array();
+    for (const Occurrence &occurrence : job.occurrences) {
+        Json steps = Json::array();
+        for (const StepRun &step : occurrence.steps) {
+            steps.push_back(tasksToJson(step));
+        }
+        occurrences.push_back({{"k", occurrence.number}, {"steps", std::move(steps)}});
+    }
+    return dumpJson({{"next", job.nextOccurrence}, {"past", job.occurrencesDone}, {"runs", std::move(occurrences)}});
+}
+
+bool applyProgress(Job &job, std::string_view text, std::string &problem)
+{
+    const auto applied = decodeJson<bool>(text, problem, [&job](const Json &json) -> std::optional<bool> {
+        job.occurrences.clear();
+        job.nextOccurrence = json.at("next").get<std::uint32_t>();
+        job.occurrencesDone = json.at("past").get<std::uint32_t>();
+        const Json &runs = json.at("runs");
+        return std::ranges::all_of(runs, [&job](const Json &run) { return applyOccurrence(job, run); });
+    });
+    if (!applied.value_or(false) && problem.empty()) {
+        problem = "the progress names tasks that the job doesn't have";
+    }
+    return applied.value_or(false);
+}
+
+std::string_view encodeEnd(JobState state)
+{
+    const auto found = std::ranges::find(endTexts, state, &std::pair<JobState, std::string_view>::first);
+    return found == endTexts.end() ? "failed" : found->second;
+}
+
+std::optional<JobState> decodeEnd(std::string_view text)
+{
+    const auto found = std::ranges::find(endTexts, text, &std::pair<JobState, std::string_view>::second);
+    return found == endTexts.end() ? std::nullopt : std::optional(found->first);
+}
+
+} // namespace wigeonkeel::dispatch
--- /dev/null
+++ b/core/dispatch/task_runs.cpp
@@ -0,0 +1,441 @@
+#include "core/dispatch/task_runs.h"
+
+#include "core/dispatch/records.h"
+#include "core/log.h"
+
+#include <algorithm>
+#include <array>
+
+namespace wigeonkeel::dispatch
+{
+
+namespace
+{
+
+constexpr std::string_view logPart = "dispatch";
+/// A start that reaches the worker later than this is refused as late, so that one without an answer is settled soon.
+constexpr milliseconds startWindow{2000};
+/// Covers the round trip over zones and one resent packet.
+constexpr milliseconds orderTimeout{400};
+/// A task whose run was lost or undone is tried again after this.
+constexpr milliseconds retryDelay{50};
+/// Progress is stored in one record with what changes in this time.
+constexpr milliseconds progressDelay{40};
+
+std::string_view endName(RunEnd end)
+{
+    constexpr std::array<std::string_view, 6> names
+        = {"done", "failed", "stopped", "lease lapsed", "gang broken", "gang incomplete"};
+    return names.at(static_cast<std::size_t>(end));
+}
+
+WorkerTarget targetOf(const Worker &worker)
+{
+    return {.id = worker.entry.id, .endpoint = worker.entry.endpoint, .incarnation = worker.entry.incarnation};
+}
+
+void sendStart(Dispatcher &dispatcher, WorkerSlot slot, const TaskKey &key, Run &run, const TaskPlace &place)
+{
+    Worker &worker = dispatcher.workers.workers[slot];
+    const auto allowance = place.step->allowed.find(slot);
+    StartRun order{.call = dispatcher.outbox->newCall(),
+        .worker = targetOf(worker),
+        .task = key,
+        .attempt = run.attempt,
+        .payload = place.job->record.spec.payload,
+        .checkpoint = place.task->checkpoint,
+        .ticket = allowance == place.step->allowed.end() ? std::string() : allowance->second.ticket,
+        .fencingToken = dispatcher.token,
+        .leaseUntil = run.latestStart,
+        .timeout = orderTimeout};
+    worker.leaseAsked = std::max(worker.leaseAsked, run.latestStart);
+    ++run.startTries;
+    run.startCallOpen = true;
+    dispatcher.orders.emplace(order.call,
+        OpenOrder{.isStart = true,
+            .worker = slot,
+            .incarnation = worker.entry.incarnation,
+            .task = key,
+            .attempt = run.attempt,
+            .token = dispatcher.token});
+    ++dispatcher.counters.startsOrdered;
+    dispatcher.outbox->add(std::move(order));
+}
+
+void markDone(TaskPlace place)
+{
+    Task &task = *place.task;
+    if (task.phase == TaskPhase::Done) {
+        return;
+    }
+    place.step->waiting -= task.phase == TaskPhase::Waiting ? 1 : 0;
+    task.phase = TaskPhase::Done;
+    --place.step->remaining;
+}
+
+void finishStep(Dispatcher &dispatcher, const TaskPlace &place, const StepKey &key, MonotonicTime now)
+{
+    Job &job = *place.job;
+    Occurrence *occurrence = findOccurrence(job, key.occurrence);
+    dropPlan(dispatcher, *place.spec, *place.step);
+    place.step->allowed.clear();
+    if (--occurrence->stepsLeft > 0) {
+        openSteps(job.record.spec, *occurrence);
+        return;
+    }
+    ++job.occurrencesDone;
+    if (job.occurrencesDone >= std::max(1U, job.record.spec.repeatCount)) {
+        endJob(dispatcher, job, JobState::Done, now);
+        return;
+    }
+    if (job.record.spec.repeatCount > 0) {
+        // Its tasks' late lists are unknown runs then; the number stays used by nextOccurrence.
+        std::erase_if(job.occurrences, [&key](const Occurrence &each) { return each.number == key.occurrence; });
+    }
+}
+
+void takeDone(
+    Dispatcher &dispatcher, const TaskPlace &place, const TaskKey &key, std::uint32_t attempt, MonotonicTime now)
+{
+    if (place.step->remaining == 0) {
+        return;
+    }
+    if (place.spec->gang) {
+        // The members end together; the ends of the others are listed by their workers and free their room. A later
+        // attempt is not needed any more.
+        for (std::uint32_t index = 0; index < place.step->tasks.size(); ++index) {
+            Task &member = place.step->tasks[index];
+            if (attempt != place.step->gangAttempt && member.phase == TaskPhase::Assigned) {
+                stopRun(dispatcher, member.worker, {.step = key.step, .index = index}, now);
+            }
+            markDone({.job = place.job, .spec = place.spec, .step = place.step, .task = &member});
+        }
+    } else {
+        if (place.task->phase == TaskPhase::Assigned) {
+            Worker &worker = dispatcher.workers.workers[place.task->worker];
+            if (worker.runs.contains(key)) {
+                stopRun(dispatcher, place.task->worker, key, now);
+            }
+        }
+        markDone(place);
+    }
+    if (place.step->remaining == 0) {
+        finishStep(dispatcher, place, key.step, now);
+    }
+}
+
+/// Counts the failure and fails the job if it was the last attempt.
+void takeFailure(
+    Dispatcher &dispatcher, const TaskPlace &place, const TaskKey &key, std::uint32_t attempt, MonotonicTime now)
+{
+    const std::uint32_t limit = queueOf(dispatcher, *place.job).maxAttempts;
+    std::uint32_t failures = 0;
+    if (place.spec->gang) {
+        // Several members may end as failed in one attempt, which counts once.
+        if (attempt == place.step->gangAttempt && !place.step->gangAborting) {
+            ++place.step->gangFailures;
+        }
+        failures = place.step->gangFailures;
+    } else {
+        failures = ++place.task->failures;
+    }
+    logLine(LogLevel::Info, logPart, "Run failed. task={} attempt={} failures={} limit={}", formatTaskKey(key), attempt,
+        failures, limit);
+    if (failures >= limit && !place.spec->longRunning) {
+        endJob(dispatcher, *place.job, JobState::Failed, now);
+    }
+}
+
+} // namespace
+
+TaskPlace findTask(Dispatcher &dispatcher, const TaskKey &key)
+{
+    Job *job = findJob(dispatcher.jobs, key.step.job);
+    if (job == nullptr || isEnded(job->state)) {
+        return {};
+    }
+    StepRun *step = findStep(*job, key.step);
+    if (step == nullptr || key.index >= step->tasks.size()) {
+        return {};
+    }
+    return {.job = job,
+        .spec = &job->record.spec.steps[key.step.step],
+        .step = step,
+        .task = &step->tasks[key.index]};
+}
+
+const QueueConfig &queueOf(const Dispatcher &dispatcher, const Job &job)
+{
+    const QueueConfig *queue = findQueueByName(dispatcher.configuration, job.record.queue.name);
+    return queue == nullptr ? job.record.queue : *queue;
+}
+
+void setWaiting(TaskPlace place, MonotonicTime notBefore)
+{
+    if (place.task->phase == TaskPhase::Assigned) {
+        place.task->phase = TaskPhase::Waiting;
+        ++place.step->waiting;
+    }
+    place.task->worker = noWorker;
+    place.task->notBefore = notBefore;
+}
+
+void startTask(Dispatcher &dispatcher, const TaskPlace &place, const TaskKey &key, WorkerSlot slot, MonotonicTime now)
+{
+    Worker &worker = dispatcher.workers.workers[slot];
+    Task &task = *place.task;
+    task.attempt = place.spec->gang ? place.step->gangAttempt : task.attempt + 1;
+    task.phase = TaskPhase::Assigned;
+    task.worker = slot;
+    task.percent = 0;
+    task.startedAt = now;
+    task.progressAt = now;
+    --place.step->waiting;
+    chargeRun(worker, key,
+        {.attempt = task.attempt,
+            .size = chargedSize(*place.spec),
+            .phase = RunPhase::Starting,
+            .latestStart = workerClockNow(worker, now) + startWindow,
+            .orderedAt = now});
+    sendStart(dispatcher, slot, key, worker.runs[key], place);
+    // The worker is looked at soon, also if it was idle until now.
+    worker.nextRenewal = std::min(worker.nextRenewal, now);
+    logLine(LogLevel::Info, logPart, "Start ordered. task={} attempt={} worker={} checkpoint={} free_cpu={} queue={}",
+        formatTaskKey(key), task.attempt, worker.entry.id, task.checkpoint.empty() ? "none" : task.checkpoint,
+        freeRoom(worker).cpuMilli, place.job->record.queue.name);
+}
+
+void repeatStart(Dispatcher &dispatcher, WorkerSlot slot, const TaskKey &key, MonotonicTime now)
+{
+    const TaskPlace place = findTask(dispatcher, key);
+    Worker &worker = dispatcher.workers.workers[slot];
+    const auto run = worker.runs.find(key);
+    if (!place || run == worker.runs.end() || workerClockNow(worker, now) >= run->second.latestStart) {
+        return;
+    }
+    sendStart(dispatcher, slot, key, run->second, place);
+}
+
+void stopRun(Dispatcher &dispatcher, WorkerSlot slot, const TaskKey &key, MonotonicTime now)
+{
+    Worker &worker = dispatcher.workers.workers[slot];
+    const auto found = worker.runs.find(key);
+    if (found == worker.runs.end() || found->second.stopCallOpen) {
+        return;
+    }
+    Run &run = found->second;
+    run.phase = RunPhase::Stopping;
+    run.stopCallOpen = true;
+    run.orderedAt = now;
+    StopRun order{.call = dispatcher.outbox->newCall(),
+        .worker = targetOf(worker),
+        .task = key,
+        .attempt = run.attempt,
+        .fencingToken = dispatcher.token,
+        .timeout = orderTimeout};
+    dispatcher.orders.emplace(order.call,
+        OpenOrder{.isStart = false,
+            .worker = slot,
+            .incarnation = worker.entry.incarnation,
+            .task = key,
+            .attempt = run.attempt,
+            .token = dispatcher.token});
+    dispatcher.outbox->add(std::move(order));
+    worker.nextRenewal = std::min(worker.nextRenewal, now);
+    logLine(LogLevel::Info, logPart, "Stop ordered. task={} attempt={} worker={}", formatTaskKey(key), run.attempt,
+        worker.entry.id);
+}
+
+void abortGang(Dispatcher &dispatcher, const TaskPlace &place, const StepKey &key, MonotonicTime now)
+{
+    StepRun &step = *place.step;
+    if (step.gangAborting || step.remaining == 0) {
+        return;
+    }
+    step.gangAborting = true;
+    ++dispatcher.counters.gangsUndone;
+    logLine(LogLevel::Info, logPart, "Gang undone. step={} attempt={} members={}", formatStepKey(key), step.gangAttempt,
+        step.tasks.size());
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        if (step.tasks[index].phase == TaskPhase::Assigned) {
+            stopRun(dispatcher, step.tasks[index].worker, {.step = key, .index = index}, now);
+        }
+    }
+}
+
+namespace
+{
+
+/// Once the last member is released, the gang may be placed again.
+void settleGang(const TaskPlace &place, MonotonicTime notBefore)
+{
+    if (place.step->waiting == place.step->tasks.size()) {
+        place.step->gangAborting = false;
+        place.step->notBefore = notBefore;
+    }
+}
+
+void release(Dispatcher &dispatcher, const TaskPlace &place, const TaskKey &key, MonotonicTime notBefore, MonotonicTime now)
+{
+    setWaiting(place, notBefore);
+    if (place.spec->gang) {
+        abortGang(dispatcher, place, key.step, now);
+        settleGang(place, notBefore);
+    }
+}
+
+} // namespace
+
+void dropRun(Dispatcher &dispatcher, WorkerSlot slot, const TaskKey &key, MonotonicTime notBefore, MonotonicTime now)
+{
+    Worker &worker = dispatcher.workers.workers[slot];
+    const auto run = worker.runs.find(key);
+    if (run == worker.runs.end()) {
+        return;
+    }
+    const std::uint32_t attempt = run->second.attempt;
+    releaseRun(worker, key);
+    dispatcher.placementDue = true;
+    const TaskPlace place = findTask(dispatcher, key);
+    if (place && place.task->phase == TaskPhase::Assigned && place.task->worker == slot
+        && place.task->attempt == attempt) {
+        release(dispatcher, place, key, notBefore, now);
+    }
+}
+
+void concludeRun(Dispatcher &dispatcher, const TaskKey &key, const EndedTask &ended, WorkerSlot slot, MonotonicTime now)
+{
+    Worker &worker = dispatcher.workers.workers[slot];
+    const auto run = worker.runs.find(key);
+    if (run != worker.runs.end() && run->second.attempt == ended.attempt) {
+        releaseRun(worker, key);
+        dispatcher.placementDue = true;
+    }
+    logLine(LogLevel::Info, logPart, "Run ended. task={} attempt={} worker={} end={} number={}", formatTaskKey(key),
+        ended.attempt, worker.entry.id, endName(ended.end), ended.number);
+    const TaskPlace place = findTask(dispatcher, key);
+    if (!place || place.task->phase == TaskPhase::Done) {
+        if (ended.end == RunEnd::Done) {
+            noteSuccess(worker.health);
+        }
+        return;
+    }
+    const bool isPresentRun = place.task->phase == TaskPhase::Assigned && place.task->worker == slot
+        && place.task->attempt == ended.attempt;
+    const bool isUnknownRun = place.task->phase == TaskPhase::Waiting && ended.attempt >= place.task->attempt;
+    if (!ended.checkpoint.empty() && (isPresentRun || isUnknownRun)) {
+        place.task->checkpoint = ended.checkpoint;
+        if (place.spec->gang) {
+            for (Task &member : place.step->tasks) {
+                member.checkpoint = ended.checkpoint;
+            }
+        }
+    }
+    if (!place.job->progressChanged) {
+        place.job->progressChanged = true;
+        place.job->commitAfter = now + progressDelay;
+    }
+    dispatcher.unstoredJobs.insert(place.job->record.id);
+    switch (ended.end) {
+    case RunEnd::Done:
+        ++dispatcher.counters.runsDone;
+        noteSuccess(worker.health);
+        if (!place.spec->longRunning) {
+            takeDone(dispatcher, place, key, ended.attempt, now);
+            return;
+        }
+        break;
+    case RunEnd::Failed:
+        ++dispatcher.counters.runsFailed;
+        noteFailure(worker.health, 1.0, now);
+        place.task->failedOn = slot;
+        place.task->attempt = std::max(place.task->attempt, ended.attempt);
+        takeFailure(dispatcher, place, key, ended.attempt, now);
+        if (isEnded(place.job->state)) {
+            return;
+        }
+        break;
+    case RunEnd::Stopped:
+    case RunEnd::LeaseLapsed:
+    case RunEnd::GangBroken:
+    case RunEnd::GangAlone:
+        ++dispatcher.counters.runsLost;
+        break;
+    }
+    if (isPresentRun) {
+        release(dispatcher, place, key, now + retryDelay, now);
+    } else if (isUnknownRun) {
+        place.task->attempt = ended.attempt;
+        place.step->gangAttempt = std::max(place.step->gangAttempt, ended.attempt);
+    }
+}
+
+void dropPlan(Dispatcher &dispatcher, const StepSpec &spec, StepRun &step)
+{
+    for (const PlannedPlace &planned : step.plan) {
+        dispatcher.workers.workers[planned.worker].reserved -= chargedSize(spec);
+    }
+    step.plan.clear();
+}
+
+void endJob(Dispatcher &dispatcher, Job &job, JobState state, MonotonicTime now)
+{
+    if (isEnded(job.state)) {
+        return;
+    }
+    for (Occurrence &occurrence : job.occurrences) {
+        for (std::uint32_t number = 0; number < occurrence.steps.size(); ++number) {
+            StepRun &step = occurrence.steps[number];
+            dropPlan(dispatcher, job.record.spec.steps[number], step);
+            for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+                if (step.tasks[index].phase == TaskPhase::Assigned) {
+                    stopRun(dispatcher, step.tasks[index].worker,
+                        {.step = {.job = job.record.id, .occurrence = occurrence.number, .step = number},
+                            .index = index},
+                        now);
+                }
+            }
+        }
+    }
+    job.state = state;
+    job.commitAfter = now;
+    dispatcher.unstoredJobs.insert(job.record.id);
+    std::erase_if(dispatcher.advisor.waiting,
+        [&job](const AdviceQuestion &question) { return question.step.job == job.record.id; });
+    dispatcher.counters.jobsDone += state == JobState::Done ? 1 : 0;
+    dispatcher.counters.jobsFailed += state == JobState::Failed ? 1 : 0;
+    dispatcher.counters.jobsCancelled += state == JobState::Cancelled ? 1 : 0;
+    const auto age = std::chrono::floor<milliseconds>(now - job.submittedAt);
+    logLine(LogLevel::Info, logPart, "Job ended. job={} queue={} state={} age_ms={} late={}", formatJobId(job.record.id),
+        job.record.queue.name, encodeEnd(state), age.count(), job.dueBy < now);
+    queueJobCommits(dispatcher, job, now);
+}
+
+void queueJobCommits(Dispatcher &dispatcher, Job &job, MonotonicTime now)
+{
+    if (job.commitOpen || !job.accepted || job.endStored || job.commitAfter > now) {
+        return;
+    }
+    const JobId id = job.record.id;
+    Commit commit{.tag = {.kind = CommitKind::Progress, .job = id}, .writes = {}, .deletes = {}, .queuedAt = now};
+    if (isEnded(job.state)) {
+        commit.tag.kind = CommitKind::End;
+        commit.writes.push_back({.key = endKey(id), .value = std::string(encodeEnd(job.state))});
+        commit.deletes.push_back(jobKey(id));
+        if (job.progressStored) {
+            commit.deletes.push_back(progressKey(id));
+        }
+    } else if (job.progressChanged) {
+        job.progressChanged = false;
+        commit.writes.push_back({.key = progressKey(id), .value = encodeProgress(job)});
+    } else {
+        return;
+    }
+    job.commitOpen = true;
+    std::ranges::move(job.unstoredEnds, std::back_inserter(job.endsBeingStored));
+    job.unstoredEnds.clear();
+    ++dispatcher.counters.commits;
+    dispatcher.commits.waiting.push_back(std::move(commit));
+}
+
+} // namespace wigeonkeel::dispatch
--- /dev/null
+++ b/core/dispatch/task_runs.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/dispatch/dispatcher.h"
+
+namespace wigeonkeel::dispatch
+{
+
+/// A task with its place in the tables.
+struct TaskPlace
+{
+    Job *job = nullptr;
+    const StepSpec *spec = nullptr;
+    StepRun *step = nullptr;
+    Task *task = nullptr;
+
+    explicit operator bool() const { return task != nullptr; }
+};
+
+/// Empty if the job is not live or has no such task.
+TaskPlace findTask(Dispatcher &dispatcher, const TaskKey &key);
+
+/// The configured queue, or the queue at the submission if the operator has removed it.
+const QueueConfig &queueOf(const Dispatcher &dispatcher, const Job &job);
+
+void setWaiting(TaskPlace place, MonotonicTime notBefore);
+
+/// Charges the worker and orders the start.
+void startTask(Dispatcher &dispatcher, const TaskPlace &place, const TaskKey &key, WorkerSlot slot, MonotonicTime now);
+/// Orders the stop of a run; its room stays charged until the worker lists the end.
+void stopRun(Dispatcher &dispatcher, WorkerSlot slot, const TaskKey &key, MonotonicTime now);
+/// Repeats the order to start, which is idempotent under one attempt number.
+void repeatStart(Dispatcher &dispatcher, WorkerSlot slot, const TaskKey &key, MonotonicTime now);
+
+/// Ends the gang's present attempt; its members wait once all of them are released.
+void abortGang(Dispatcher &dispatcher, const TaskPlace &place, const StepKey &key, MonotonicTime now);
+
+/// A run of the task is over. `number` is the worker's number of the end, 0 if the worker did not list one.
+void concludeRun(Dispatcher &dispatcher, const TaskKey &key, const EndedTask &ended, WorkerSlot slot, MonotonicTime now);
+
+/// The run surely does not exist: the start was refused or came to nothing.
+void dropRun(Dispatcher &dispatcher, WorkerSlot slot, const TaskKey &key, MonotonicTime notBefore, MonotonicTime now);
+
+/// Ends the job, stops its runs and queues the record of its end.
+void endJob(Dispatcher &dispatcher, Job &job, JobState state, MonotonicTime now);
+
+/// Returns the reserved room of a step's plan.
+void dropPlan(Dispatcher &dispatcher, const StepSpec &spec, StepRun &step);
+
+/// Queues the job's record of progress, or of its end, unless one is under way.
+void queueJobCommits(Dispatcher &dispatcher, Job &job, MonotonicTime now);
+
+} // namespace wigeonkeel::dispatch
--- /dev/null
+++ b/core/dispatch/worker_events.cpp
@@ -0,0 +1,532 @@
+#include "core/dispatch/worker_events.h"
+
+#include "core/dispatch/task_runs.h"
+#include "core/log.h"
+
+#include <algorithm>
+
+namespace wigeonkeel::dispatch
+{
+
+namespace
+{
+
+constexpr std::string_view logPart = "worker";
+/// Lease that keeps a worker's runs alive while leadership changes: detection, claim and first contact take about 3 s.
+constexpr milliseconds workerLease{4500};
+/// How long a worker may hold its answer back while nothing ends. Each look is priced; progress is read by it too.
+constexpr milliseconds renewalWait{1200};
+/// Over the wait; covers the round trip over zones and one resent packet.
+constexpr milliseconds renewalSlack{500};
+constexpr milliseconds firstContactTimeout{400};
+constexpr milliseconds failedRenewalDelay{150};
+constexpr milliseconds longestRenewalDelay{1000};
+/// With ends listed that are not stored yet, the worker would answer at once; the next look waits for the store.
+constexpr milliseconds unstoredEndsDelay{80};
+constexpr std::uint32_t maxStartTries = 3;
+constexpr milliseconds refusedDelay{150};
+/// After a stop without effect.
+constexpr milliseconds stopRetryDelay{500};
+/// Room of runs that this leader doesn't know is not used for this long after their stop was ordered.
+constexpr milliseconds strangerDelay{1500};
+/// A task that makes no progress for this long stands still: at an eighth of the usual speed the longest tasks still
+/// advance by a percent in this time.
+constexpr milliseconds stallTime{3000};
+constexpr double stallWeight = 1.5;
+/// A worker that left the directory and does not answer is given up after its lease.
+constexpr milliseconds leaseMargin{100};
+
+bool isAlive(const Worker &worker)
+{
+    return worker.listed || !worker.runs.empty();
+}
+
+/// The worker was born anew: what ran there is gone.
+void forgetLife(Dispatcher &dispatcher, WorkerSlot slot, MonotonicTime now)
+{
+    Worker &worker = dispatcher.workers.workers[slot];
+    std::vector<TaskKey> lost;
+    for (const auto &[key, run] : worker.runs) {
+        lost.push_back(key);
+    }
+    for (const TaskKey &key : lost) {
+        const std::uint32_t attempt = worker.runs.at(key).attempt;
+        concludeRun(dispatcher, key,
+            {.number = 0, .task = key, .attempt = attempt, .end = RunEnd::LeaseLapsed, .checkpoint = {}}, slot, now);
+    }
+    worker.greeted = false;
+    worker.ends.clear();
+    worker.lastEnd = 0;
+    worker.acknowledged = 0;
+    worker.leaseAsked = {};
+    worker.renewalOpen = false;
+    worker.renewalCall = 0;
+    worker.renewalFailures = 0;
+    worker.nextRenewal = now;
+    worker.health = {};
+}
+
+void setIncarnation(Dispatcher &dispatcher, WorkerSlot slot, std::int64_t incarnation, MonotonicTime now)
+{
+    Worker &worker = dispatcher.workers.workers[slot];
+    // A stale directory may still show the life before.
+    if (incarnation <= worker.entry.incarnation) {
+        return;
+    }
+    if (worker.entry.incarnation != 0) {
+        logLine(LogLevel::Info, logPart, "Worker restarted. worker={} incarnation={} before={} runs_lost={}",
+            worker.entry.id, incarnation, worker.entry.incarnation, worker.runs.size());
+        forgetLife(dispatcher, slot, now);
+    }
+    worker.entry.incarnation = incarnation;
+}
+
+void takeStartReply(Dispatcher &dispatcher, const OpenOrder &order, const OrderReply &reply, MonotonicTime now)
+{
+    Worker &worker = dispatcher.workers.workers[order.worker];
+    const auto found = worker.runs.find(order.task);
+    if (found == worker.runs.end() || found->second.attempt != order.attempt) {
+        return;
+    }
+    Run &run = found->second;
+    run.startCallOpen = false;
+    if (reply.status == CallStatus::Ok) {
+        run.confirmed = true;
+        run.seenAt = now;
+        run.phase = run.phase == RunPhase::Starting ? RunPhase::Running : run.phase;
+        const TaskPlace place = findTask(dispatcher, order.task);
+        if (place) {
+            place.job->started = true;
+            place.job->state = JobState::Running;
+            place.task->progressAt = now;
+        }
+        return;
+    }
+    if (reply.status == CallStatus::Unknown) {
+        ++dispatcher.counters.startsUnanswered;
+        logLine(LogLevel::Info, logPart, "Start unanswered. task={} attempt={} worker={} tries={}",
+            formatTaskKey(order.task), order.attempt, worker.entry.id, run.startTries);
+        if (run.phase == RunPhase::Starting && run.startTries < maxStartTries) {
+            repeatStart(dispatcher, order.worker, order.task, now);
+        }
+        return;
+    }
+    // An earlier copy of this order may still be carried out; the lists tell.
+    if (run.startTries > 1) {
+        return;
+    }
+    ++dispatcher.counters.startsRefused;
+    logLine(LogLevel::Info, logPart, "Start refused. task={} attempt={} worker={} status={} reason={}",
+        formatTaskKey(order.task), order.attempt, worker.entry.id, static_cast<int>(reply.status),
+        static_cast<int>(reply.refusal));
+    TaskPlace place = findTask(dispatcher, order.task);
+    switch (reply.refusal) {
+    case StartRefusal::Fenced:
+        if (order.token == dispatcher.token) {
+            dispatcher.deposed = true;
+            return;
+        }
+        break;
+    case StartRefusal::Ticket:
+        if (place) {
+            place.step->allowed.erase(order.worker);
+        }
+        break;
+    case StartRefusal::Unwell:
+        noteFailure(worker.health, 1.0, now);
+        break;
+    case StartRefusal::WrongIncarnation:
+        worker.greeted = false;
+        worker.nextRenewal = now;
+        break;
+    default:
+        break;
+    }
+    if (reply.status == CallStatus::Unreachable) {
+        noteFailure(worker.health, 0.5, now);
+    }
+    const bool again = reply.refusal == StartRefusal::OldAttempt || reply.refusal == StartRefusal::Ticket;
+    dropRun(dispatcher, order.worker, order.task, again ? now : now + refusedDelay, now);
+}
+
+void takeStopReply(Dispatcher &dispatcher, const OpenOrder &order, const OrderReply &reply, MonotonicTime now)
+{
+    Worker &worker = dispatcher.workers.workers[order.worker];
+    const auto found = worker.runs.find(order.task);
+    if (found == worker.runs.end() || found->second.attempt != order.attempt) {
+        return;
+    }
+    Run &run = found->second;
+    run.stopCallOpen = false;
+    if (reply.status == CallStatus::Ok) {
+        run.stopAnswered = true;
+        run.orderedAt = now;
+        return;
+    }
+    if (reply.refusal == StartRefusal::Fenced && order.token == dispatcher.token) {
+        dispatcher.deposed = true;
+    }
+}
+
+/// A run that a list which was asked for after it was seen doesn't show any more.
+void settleMissingRun(Dispatcher &dispatcher, WorkerSlot slot, const TaskKey &key, const RenewReply &reply,
+    MonotonicTime sentAt, MonotonicTime now)
+{
+    Worker &worker = dispatcher.workers.workers[slot];
+    const Run &run = worker.runs.at(key);
+    if (run.confirmed) {
+        if (run.seenAt < sentAt) {
+            concludeRun(dispatcher, key,
+                {.number = 0, .task = key, .attempt = run.attempt, .end = RunEnd::LeaseLapsed, .checkpoint = {}}, slot,
+                now);
+        }
+        return;
+    }
+    const bool refusedForGood = run.stopAnswered && run.orderedAt < sentAt;
+    if (refusedForGood || reply.clock > run.latestStart) {
+        logLine(LogLevel::Info, logPart, "Start came to nothing. task={} attempt={} worker={}", formatTaskKey(key),
+            run.attempt, worker.entry.id);
+        dropRun(dispatcher, slot, key, now, now);
+    }
+}
+
+void stopStranger(Dispatcher &dispatcher, WorkerSlot slot, const RunningTask &running, MonotonicTime now)
+{
+    Worker &worker = dispatcher.workers.workers[slot];
+    worker.strangersUntil = now + strangerDelay;
+    chargeRun(worker, running.task,
+        {.attempt = running.attempt, .size = {}, .phase = RunPhase::Running, .seenAt = now, .confirmed = true});
+    stopRun(dispatcher, slot, running.task, now);
+}
+
+/// A run that this leader did not order, or took for lost.
+void takeUnknownRun(Dispatcher &dispatcher, WorkerSlot slot, const RunningTask &running, MonotonicTime now)
+{
+    const TaskPlace place = findTask(dispatcher, running.task);
+    if (!place || place.task->phase != TaskPhase::Waiting || running.attempt < place.task->attempt
+        || place.step->gangAborting) {
+        stopStranger(dispatcher, slot, running, now);
+        return;
+    }
+    Worker &worker = dispatcher.workers.workers[slot];
+    Task &task = *place.task;
+    task.phase = TaskPhase::Assigned;
+    --place.step->waiting;
+    task.worker = slot;
+    task.attempt = running.attempt;
+    task.percent = running.percent;
+    task.startedAt = now;
+    task.progressAt = now;
+    place.step->gangAttempt = std::max(place.step->gangAttempt, running.attempt);
+    place.job->started = true;
+    place.job->state = JobState::Running;
+    chargeRun(worker, running.task,
+        {.attempt = running.attempt,
+            .size = chargedSize(*place.spec),
+            .phase = RunPhase::Running,
+            .seenAt = now,
+            .confirmed = true});
+    logLine(LogLevel::Info, logPart, "Run taken over. task={} attempt={} worker={}", formatTaskKey(running.task),
+        running.attempt, worker.entry.id);
+}
+
+void takeRunning(Dispatcher &dispatcher, WorkerSlot slot, const RunningTask &running, MonotonicTime now)
+{
+    Worker &worker = dispatcher.workers.workers[slot];
+    const auto found = worker.runs.find(running.task);
+    if (found == worker.runs.end()) {
+        takeUnknownRun(dispatcher, slot, running, now);
+        return;
+    }
+    Run &run = found->second;
+    if (run.attempt != running.attempt) {
+        return;
+    }
+    run.confirmed = true;
+    run.seenAt = now;
+    const TaskPlace place = findTask(dispatcher, running.task);
+    if (run.phase == RunPhase::Starting) {
+        run.phase = RunPhase::Running;
+        if (place) {
+            place.job->started = true;
+            place.job->state = JobState::Running;
+        }
+    }
+    if (!place || place.task->worker != slot || place.task->attempt != running.attempt) {
+        return;
+    }
+    Task &task = *place.task;
+    if (running.percent != task.percent) {
+        task.percent = running.percent;
+        task.progressAt = now;
+    }
+    if (!running.checkpoint.empty()) {
+        task.checkpoint = running.checkpoint;
+    }
+}
+
+void takeEnded(Dispatcher &dispatcher, WorkerSlot slot, const EndedTask &ended, MonotonicTime now)
+{
+    Worker &worker = dispatcher.workers.workers[slot];
+    if (ended.number <= worker.lastEnd) {
+        return;
+    }
+    worker.lastEnd = ended.number;
+    concludeRun(dispatcher, ended.task, ended, slot, now);
+    Job *job = findJob(dispatcher.jobs, ended.task.step.job);
+    const bool mustStore = job != nullptr && !job->endStored;
+    worker.ends[ended.number] = !mustStore;
+    if (mustStore) {
+        job->unstoredEnds.push_back(
+            {.worker = slot, .incarnation = worker.entry.incarnation, .number = ended.number});
+    }
+}
+
+void takeLists(
+    Dispatcher &dispatcher, WorkerSlot slot, const RenewReply &reply, MonotonicTime sentAt, MonotonicTime now)
+{
+    for (const EndedTask &ended : reply.ended) {
+        takeEnded(dispatcher, slot, ended, now);
+    }
+    for (const RunningTask &running : reply.running) {
+        takeRunning(dispatcher, slot, running, now);
+    }
+    Worker &worker = dispatcher.workers.workers[slot];
+    std::vector<TaskKey> missing;
+    for (const auto &[key, run] : worker.runs) {
+        const auto isThis = [&key](const RunningTask &running) { return running.task == key; };
+        if (run.seenAt != now && std::ranges::none_of(reply.running, isThis)) {
+            missing.push_back(key);
+        }
+    }
+    for (const TaskKey &key : missing) {
+        settleMissingRun(dispatcher, slot, key, reply, sentAt, now);
+    }
+}
+
+void renew(Dispatcher &dispatcher, WorkerSlot slot, MonotonicTime now)
+{
+    Worker &worker = dispatcher.workers.workers[slot];
+    const bool known = worker.greeted;
+    RenewWorker call{.call = dispatcher.outbox->newCall(),
+        .worker = {.id = worker.entry.id,
+            .endpoint = worker.entry.endpoint,
+            .incarnation = worker.entry.incarnation},
+        .fencingToken = dispatcher.token,
+        .acknowledged = acknowledgeable(worker),
+        .leaseUntil = {},
+        .wait = milliseconds(0),
+        .timeout = firstContactTimeout};
+    if (known) {
+        const milliseconds lease = std::min(workerLease, dispatcher.bounds.maxWorkerLease);
+        call.leaseUntil = workerClockNow(worker, now) + lease;
+        worker.leaseAsked = std::max(worker.leaseAsked, call.leaseUntil);
+        const bool waits = !worker.runs.empty() && worker.ends.empty() && worker.renewalFailures == 0;
+        call.wait = waits ? renewalWait : milliseconds(0);
+        call.timeout = call.wait + renewalSlack;
+    }
+    worker.renewalOpen = true;
+    worker.renewalCall = call.call;
+    worker.renewalToken = dispatcher.token;
+    worker.renewalSentAt = now;
+    dispatcher.renewals.emplace(call.call, slot);
+    ++dispatcher.counters.renewals;
+    dispatcher.outbox->add(std::move(call));
+}
+
+void planRenewal(Worker &worker, MonotonicTime now)
+{
+    if (!worker.ends.empty()) {
+        // The store's answer sets this to now.
+        worker.nextRenewal = now + unstoredEndsDelay;
+    } else if (!worker.runs.empty()) {
+        worker.nextRenewal = now;
+    } else if (worker.acknowledged < worker.lastEnd) {
+        worker.nextRenewal = now + unstoredEndsDelay;
+    } else {
+        // Nothing runs and nothing is listed: the next start asks for a look.
+        worker.nextRenewal = MonotonicTime::max();
+    }
+}
+
+/// Runs of a worker that can't be reached are gone when its lease is.
+void giveUpUnreachable(Dispatcher &dispatcher, WorkerSlot slot, MonotonicTime now)
+{
+    Worker &worker = dispatcher.workers.workers[slot];
+    if (worker.renewalFailures == 0 || worker.runs.empty()) {
+        return;
+    }
+    const MonotonicTime goneBy
+        = worker.greeted ? leaseEndsBy(worker) + leaseMargin : dispatcher.inheritanceSettlesAt + leaseMargin;
+    if (now < goneBy) {
+        return;
+    }
+    logLine(LogLevel::Warning, logPart, "Worker given up, its lease has ended. worker={} failures={} runs_lost={}",
+        worker.entry.id, worker.renewalFailures, worker.runs.size());
+    const std::uint32_t failures = worker.renewalFailures;
+    const std::uint64_t lastEnd = worker.lastEnd;
+    const std::uint64_t acknowledged = worker.acknowledged;
+    forgetLife(dispatcher, slot, now);
+    // It may be the same life when it comes back, with the same numbers.
+    worker.lastEnd = lastEnd;
+    worker.acknowledged = acknowledged;
+    worker.renewalFailures = failures;
+}
+
+void superviseRun(Dispatcher &dispatcher, WorkerSlot slot, const TaskKey &key, MonotonicTime now)
+{
+    Worker &worker = dispatcher.workers.workers[slot];
+    Run &run = worker.runs.at(key);
+    if (run.phase == RunPhase::Stopping) {
+        if (!run.stopCallOpen && now - run.orderedAt > stopRetryDelay + dispatcher.bounds.stopTime) {
+            stopRun(dispatcher, slot, key, now);
+        } else if (!run.stopCallOpen && !run.stopAnswered && now - run.orderedAt > stopRetryDelay) {
+            stopRun(dispatcher, slot, key, now);
+        }
+        return;
+    }
+    const TaskPlace place = findTask(dispatcher, key);
+    if (!place || place.task->worker != slot || place.spec->longRunning) {
+        return;
+    }
+    if (place.spec->gang && run.phase == RunPhase::Starting && !place.step->gangAborting
+        && now - place.step->gangStartedAt > dispatcher.bounds.gangTimeout / 2) {
+        abortGang(dispatcher, place, key.step, now);
+        return;
+    }
+    if (run.phase == RunPhase::Running && now - place.task->progressAt > stallTime && worker.renewalFailures == 0
+        && place.task->percent < 100) {
+        ++dispatcher.counters.stalled;
+        logLine(LogLevel::Warning, logPart, "Task makes no progress and is stopped. task={} worker={} percent={}",
+            formatTaskKey(key), worker.entry.id, place.task->percent);
+        noteFailure(worker.health, stallWeight, now);
+        place.task->failedOn = slot;
+        stopRun(dispatcher, slot, key, now);
+    }
+}
+
+} // namespace
+
+void updateWorkers(Dispatcher &dispatcher, std::span<const WorkerEntry> entries, MonotonicTime now)
+{
+    std::vector<bool> seen(dispatcher.workers.workers.size(), false);
+    for (const WorkerEntry &entry : entries) {
+        const WorkerSlot slot = addWorker(dispatcher.workers, entry.id);
+        seen.resize(dispatcher.workers.workers.size(), false);
+        seen[slot] = true;
+        Worker &worker = dispatcher.workers.workers[slot];
+        const std::int64_t known = worker.entry.incarnation;
+        if (entry.incarnation < known) {
+            continue;
+        }
+        setIncarnation(dispatcher, slot, entry.incarnation, now);
+        if (entry.draining && !worker.entry.draining) {
+            logLine(LogLevel::Info, logPart, "Worker drains. worker={} leaves_in_ms={} runs={}", entry.id,
+                entry.leavesIn.count(), worker.runs.size());
+        }
+        worker.entry = entry;
+        worker.listed = true;
+    }
+    for (WorkerSlot slot = 0; slot < seen.size(); ++slot) {
+        Worker &worker = dispatcher.workers.workers[slot];
+        if (!seen[slot] && worker.listed) {
+            worker.listed = false;
+            worker.unlistedSince = now;
+            logLine(LogLevel::Info, logPart, "Worker left the directory. worker={} runs={}", worker.entry.id,
+                worker.runs.size());
+        }
+    }
+    dispatcher.placementDue = true;
+}
+
+void takeOrderReply(Dispatcher &dispatcher, const OrderReply &reply, MonotonicTime now)
+{
+    const auto found = dispatcher.orders.find(reply.call);
+    if (found == dispatcher.orders.end()) {
+        return;
+    }
+    const OpenOrder order = found->second;
+    dispatcher.orders.erase(found);
+    if (dispatcher.workers.workers[order.worker].entry.incarnation != order.incarnation) {
+        return;
+    }
+    if (order.isStart) {
+        takeStartReply(dispatcher, order, reply, now);
+    } else {
+        takeStopReply(dispatcher, order, reply, now);
+    }
+}
+
+void takeRenewReply(Dispatcher &dispatcher, const RenewReply &reply, MonotonicTime now)
+{
+    const auto found = dispatcher.renewals.find(reply.call);
+    if (found == dispatcher.renewals.end()) {
+        return;
+    }
+    const WorkerSlot slot = found->second;
+    dispatcher.renewals.erase(found);
+    Worker &worker = dispatcher.workers.workers[slot];
+    if (worker.renewalCall != reply.call) {
+        return;
+    }
+    worker.renewalOpen = false;
+    if (reply.refusal == StartRefusal::Fenced && worker.renewalToken == dispatcher.token) {
+        logLine(LogLevel::Warning, logPart, "Worker has seen a newer token. worker={} token={}", worker.entry.id,
+            dispatcher.token);
+        dispatcher.deposed = true;
+        return;
+    }
+    if (reply.status != CallStatus::Ok) {
+        ++worker.renewalFailures;
+        const auto delay = std::min(failedRenewalDelay * worker.renewalFailures, longestRenewalDelay);
+        worker.nextRenewal = now + delay;
+        logLine(LogLevel::Info, logPart, "Look failed. worker={} status={} failures={} runs={}", worker.entry.id,
+            static_cast<int>(reply.status), worker.renewalFailures, worker.runs.size());
+        return;
+    }
+    if (reply.incarnation < worker.entry.incarnation) {
+        return;
+    }
+    if (reply.incarnation > worker.entry.incarnation) {
+        setIncarnation(dispatcher, slot, reply.incarnation, now);
+        // A new life may be of another size; the directory has to tell it first.
+        worker.listed = false;
+        worker.unlistedSince = now;
+    }
+    worker.clock = reply.clock;
+    worker.clockReadAt = now;
+    if (worker.renewalFailures > 0 || !worker.greeted) {
+        dispatcher.placementDue = true;
+    }
+    worker.renewalFailures = 0;
+    worker.greeted = true;
+    worker.renewalOpen = false;
+    takeLists(dispatcher, slot, reply, worker.renewalSentAt, now);
+    planRenewal(worker, now);
+}
+
+void superviseWorkers(Dispatcher &dispatcher, MonotonicTime now)
+{
+    for (WorkerSlot slot = 0; slot < dispatcher.workers.workers.size(); ++slot) {
+        giveUpUnreachable(dispatcher, slot, now);
+        std::vector<TaskKey> keys;
+        for (const auto &[key, run] : dispatcher.workers.workers[slot].runs) {
+            keys.push_back(key);
+        }
+        for (const TaskKey &key : keys) {
+            superviseRun(dispatcher, slot, key, now);
+        }
+    }
+}
+
+void renewWorkers(Dispatcher &dispatcher, MonotonicTime now)
+{
+    for (WorkerSlot slot = 0; slot < dispatcher.workers.workers.size(); ++slot) {
+        Worker &worker = dispatcher.workers.workers[slot];
+        if (!worker.renewalOpen && worker.nextRenewal <= now && isAlive(worker)) {
+            renew(dispatcher, slot, now);
+        }
+    }
+}
+
+} // namespace wigeonkeel::dispatch
--- /dev/null
+++ b/core/dispatch/worker_table.cpp
@@ -0,0 +1,99 @@
+#include "core/dispatch/worker_table.h"
+
+#include <algorithm>
+
+namespace wigeonkeel::dispatch
+{
+
+namespace
+{
+
+/// A worker's clock may run this much slow (the platform's contract).
+constexpr double clockSlack = 1.02;
+/// Failed runs in short order after which a worker gets no starts for a while. One or two failures also come from jobs
+/// that fail everywhere.
+constexpr double avoidedSuspicion = 2.5;
+constexpr milliseconds firstAvoidance{3000};
+constexpr milliseconds longestAvoidance{12000};
+
+} // namespace
+
+WorkerSlot findWorker(const WorkerTable &table, std::string_view id)
+{
+    const auto found = table.byId.find(std::string(id));
+    return found == table.byId.end() ? noWorker : found->second;
+}
+
+WorkerSlot addWorker(WorkerTable &table, std::string_view id)
+{
+    const auto slot = static_cast<WorkerSlot>(table.workers.size());
+    const auto [place, added] = table.byId.try_emplace(std::string(id), slot);
+    if (added) {
+        table.workers.emplace_back().entry.id = std::string(id);
+    }
+    return place->second;
+}
+
+bool takesStarts(const Worker &worker, MonotonicTime now)
+{
+    return worker.listed && worker.greeted && !worker.entry.draining && worker.renewalFailures == 0
+        && worker.health.avoidUntil <= now && worker.strangersUntil <= now;
+}
+
+WorkerTime workerClockNow(const Worker &worker, MonotonicTime now)
+{
+    const auto elapsed = std::chrono::duration<double, std::milli>(now - worker.clockReadAt) / clockSlack;
+    return worker.clock + std::chrono::floor<milliseconds>(elapsed);
+}
+
+MonotonicTime leaseEndsBy(const Worker &worker)
+{
+    const auto left = std::max(milliseconds(0), worker.leaseAsked - worker.clock);
+    const auto slackened = std::chrono::duration<double, std::milli>(left) * clockSlack;
+    return worker.clockReadAt + std::chrono::ceil<milliseconds>(slackened);
+}
+
+void chargeRun(Worker &worker, const TaskKey &task, const Run &run)
+{
+    worker.runs[task] = run;
+    worker.used += run.size;
+}
+
+void releaseRun(Worker &worker, const TaskKey &task)
+{
+    const auto found = worker.runs.find(task);
+    if (found != worker.runs.end()) {
+        worker.used -= found->second.size;
+        worker.runs.erase(found);
+    }
+}
+
+std::uint64_t acknowledgeable(Worker &worker)
+{
+    while (!worker.ends.empty() && worker.ends.begin()->second) {
+        worker.acknowledged = worker.ends.begin()->first;
+        worker.ends.erase(worker.ends.begin());
+    }
+    return worker.acknowledged;
+}
+
+void noteFailure(WorkerHealth &health, double weight, MonotonicTime now)
+{
+    health.suspicion += weight;
+    if (health.suspicion >= avoidedSuspicion) {
+        health.nextAvoidance = std::clamp(health.nextAvoidance * 2, firstAvoidance, longestAvoidance);
+        health.avoidUntil = now + health.nextAvoidance;
+        // One more failure after the pause is enough to avoid the worker again.
+        health.suspicion = avoidedSuspicion - 1.0;
+    }
+}
+
+void noteSuccess(WorkerHealth &health)
+{
+    health.suspicion *= 0.5;
+    if (health.suspicion < 0.5) {
+        health.nextAvoidance = milliseconds(0);
+    }
+}
+
+} // namespace wigeonkeel::dispatch
--- /dev/null
+++ b/core/dispatch/worker_table.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "core/dispatch/messages.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wigeonkeel::dispatch
+{
+
+/// Place of a worker in the table; stays the same over the worker's lives.
+using WorkerSlot = std::uint32_t;
+inline constexpr WorkerSlot noWorker = UINT32_MAX;
+
+enum class RunPhase : std::uint8_t {
+    /// Ordered; the worker has not listed it yet.
+    Starting,
+    Running,
+    /// A stop was ordered.
+    Stopping,
+};
+
+/// What the worker holds, or may hold, of a task. Its size is charged until the worker is known not to have it.
+struct Run
+{
+    std::uint32_t attempt = 0;
+    Resources size;
+    RunPhase phase = RunPhase::Starting;
+    /// A start that arrives later, by the worker's clock, is refused.
+    WorkerTime latestStart{};
+    /// When an answer or a list showed that the run is there. Lists that were asked for earlier don't count as proof
+    /// that it is gone.
+    MonotonicTime seenAt{};
+    bool confirmed = false;
+    std::uint32_t startTries = 0;
+    bool startCallOpen = false;
+    bool stopCallOpen = false;
+    /// A stop was answered, so that a start under way is refused for good.
+    bool stopAnswered = false;
+    MonotonicTime orderedAt{};
+};
+
+/// Signs that a worker fails what it starts.
+struct WorkerHealth
+{
+    /// Rises with each failed or stalled run, falls with each one done.
+    double suspicion = 0.0;
+    MonotonicTime avoidUntil{};
+    /// Longer with each time the worker was avoided in a row.
+    milliseconds nextAvoidance{0};
+    /// Speed against the estimates of tasks that ended here, 1 if as elsewhere.
+    double slowness = 1.0;
+};
+
+/// A worker and what this leader has on it.
+struct Worker
+{
+    WorkerEntry entry;
+    /// False once the directory no longer lists the worker.
+    bool listed = true;
+    /// Since when the directory doesn't list it.
+    MonotonicTime unlistedSince{};
+    /// The worker answered under this leader's token, so that older orders are refused.
+    bool greeted = false;
+    Resources used;
+    /// Room kept for planned gangs.
+    Resources reserved;
+    absl::flat_hash_map<TaskKey, Run> runs;
+    /// Ends that the worker lists, by number; true once they are stored or don't matter.
+    std::map<std::uint64_t, bool> ends;
+    std::uint64_t lastEnd = 0;
+    std::uint64_t acknowledged = 0;
+    bool renewalOpen = false;
+    CallId renewalCall = 0;
+    std::uint64_t renewalToken = 0;
+    MonotonicTime renewalSentAt{};
+    MonotonicTime nextRenewal{};
+    std::uint32_t renewalFailures = 0;
+    /// The worker's clock at `clockReadAt`; a worker's clock may be 2% slow.
+    WorkerTime clock{};
+    MonotonicTime clockReadAt{};
+    /// The longest lease that was asked for.
+    WorkerTime leaseAsked{};
+    WorkerHealth health;
+    /// Runs that this leader doesn't know take unknown room; no starts until they were stopped.
+    MonotonicTime strangersUntil{};
+};
+
+struct WorkerTable
+{
+    std::vector<Worker> workers;
+    absl::flat_hash_map<std::string, WorkerSlot> byId;
+};
+
+WorkerSlot findWorker(const WorkerTable &table, std::string_view id);
+/// Adds the worker if it is new.
+WorkerSlot addWorker(WorkerTable &table, std::string_view id);
+
+inline Resources freeRoom(const Worker &worker)
+{
+    return worker.entry.capacity - worker.used - worker.reserved;
+}
+
+/// True if starts may be ordered there at all.
+bool takesStarts(const Worker &worker, MonotonicTime now);
+
+/// Earliest time that the worker's clock can show now.
+WorkerTime workerClockNow(const Worker &worker, MonotonicTime now);
+/// Latest time at which the worker's lease has surely ended, by this daemon's clock.
+MonotonicTime leaseEndsBy(const Worker &worker);
+
+void chargeRun(Worker &worker, const TaskKey &task, const Run &run);
+void releaseRun(Worker &worker, const TaskKey &task);
+
+/// Marks ends as stored and returns the number up to which the worker may forget.
+std::uint64_t acknowledgeable(Worker &worker);
+
+/// Health: what a run's end says of the worker.
+void noteFailure(WorkerHealth &health, double weight, MonotonicTime now);
+void noteSuccess(WorkerHealth &health);
+
+} // namespace wigeonkeel::dispatch
--- a/core/log.cpp
+++ b/core/log.cpp
@@ -1,10 +1,15 @@
 #include "core/log.h"
 
-#include "platform/system_clock.h"
+#include "drivers/clock/system_clock.h"
 
-#include <cstdio>
+#include <algorithm>
+#include <iterator>
+#include <string>
+#include <utility>
 
 #include <fmt/chrono.h>
+#include <poll.h>
+#include <unistd.h>
 
 namespace wigeonkeel
 {
@@ -14,6 +19,26 @@
 
 LogLevel currentLevel = LogLevel::Info;
 
+/// About a second of lines under load.
+constexpr std::size_t maxBufferedBytes = 256 * 1024;
+/// A pipe that polls as writable takes at least this much (PIPE_BUF).
+constexpr std::size_t writeBytes = 4096;
+
+struct LogBuffer
+{
+    std::string text;
+    std::uint64_t dropped = 0;
+    bool deferred = false;
+};
+
+LogBuffer buffer;
+
+bool isWritable()
+{
+    pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
 std::string_view levelName(LogLevel level)
 {
     switch (level) {
@@ -59,8 +84,38 @@
     const auto sinceEpoch = systemClock().wall().time_since_epoch();
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(sinceEpoch);
     const auto remainder = sinceEpoch - seconds;
-    fmt::print(stderr, "{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}: {}\n",
+    if (buffer.text.size() > maxBufferedBytes) {
+        ++buffer.dropped;
+        return;
+    }
+    fmt::format_to(std::back_inserter(buffer.text), "{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}: {}\n",
         fmt::gmtime(static_cast<std::time_t>(seconds.count())), remainder.count(), levelName(level), part, text);
+    if (!buffer.deferred) {
+        flushLog();
+    }
+}
+
+void bufferLog()
+{
+    buffer.deferred = true;
+}
+
+void flushLog()
+{
+    std::size_t written = 0;
+    while (written < buffer.text.size() && isWritable()) {
+        const std::size_t size = std::min(writeBytes, buffer.text.size() - written);
+        const ssize_t count = write(STDOUT_FILENO, buffer.text.data() + written, size);
+        if (count <= 0) {
+            break;
+        }
+        written += static_cast<std::size_t>(count);
+    }
+    buffer.text.erase(0, written);
+    if (buffer.dropped > 0 && buffer.text.empty()) {
+        const std::uint64_t dropped = std::exchange(buffer.dropped, 0);
+        logLine(LogLevel::Warning, "log", "Lines were dropped because standard output was not read. count={}", dropped);
+    }
 }
 
 } // namespace wigeonkeel
--- a/core/registry.h
+++ b/core/registry.h
@@ -17,14 +17,16 @@
 /// Order in which plug-ins start; they stop in the reverse order.
 enum class PluginLevel : std::uint8_t { Core, Drivers, Policies, FrontEnds };
 
-/// A plug-in: functions over a state of its own. The state is made by `create` and given to the other functions.
-struct Plugin
+/// A plug-in of a kernel: functions over a state of its own. The state is made by `start` and given to the other
+/// functions.
+template <typename KernelType>
+struct PluginOf
 {
     std::string_view name;
     PluginLevel level = PluginLevel::Drivers;
     /// Makes the state and connects to the kernel's signals. A null state means that the plug-in could not start;
     /// the reason was logged.
-    void *(*start)(Kernel &kernel) = nullptr;
+    void *(*start)(KernelType &kernel) = nullptr;
     /// Disconnects and frees the state.
     void (*stop)(void *state) = nullptr;
     /// Takes no new connections from callers; those that are open are still served. Null if there are none.
@@ -34,6 +36,8 @@
     bool (*isBusy)(void *state) = nullptr;
 };
 
+using Plugin = PluginOf<Kernel>;
+
 /// All plug-ins and policies of this program, filled by the register functions of the modules.
 struct Registry
 {
--- /dev/null
+++ b/drivers/cluster_protocol/cluster_codec.cpp
@@ -0,0 +1,180 @@
+#include "drivers/cluster_protocol/cluster_codec.h"
+
+#include "drivers/cluster_protocol/cluster_generated.h"
+#include "drivers/peer_protocol/peer_codec.h"
+
+#include <cstring>
+#include <vector>
+
+namespace wigeonkeel::dispatch
+{
+
+namespace
+{
+
+namespace wire = cluster_wire;
+using Builder = flatbuffers::FlatBufferBuilder;
+
+constexpr std::size_t firstBufferBytes = 512;
+
+std::string textOf(const flatbuffers::String *text)
+{
+    return text == nullptr ? std::string() : text->str();
+}
+
+/// Clamps an enumerator of another version to the last one known, which is the most careful.
+template <typename Enum>
+Enum enumOf(std::uint8_t value, Enum last)
+{
+    return value > static_cast<std::uint8_t>(last) ? last : static_cast<Enum>(value);
+}
+
+std::pair<wire::Body, flatbuffers::Offset<void>> build(Builder &builder, const Presence &presence)
+{
+    const auto offset = wire::CreatePresence(builder, builder.CreateString(presence.node), presence.leader.token,
+        builder.CreateString(presence.leader.node), builder.CreateString(presence.leader.endpoint.ip),
+        presence.leader.endpoint.port, presence.configVersion);
+    return {wire::Body::Presence, offset.Union()};
+}
+
+std::pair<wire::Body, flatbuffers::Offset<void>> build(Builder &builder, const ForwardedCall &forwarded)
+{
+    const ClientCall &call = forwarded.call;
+    const auto offset = wire::CreateCall(builder, call.call, static_cast<std::uint8_t>(call.kind),
+        builder.CreateString(call.queue), call.job,
+        builder.CreateVector(reinterpret_cast<const std::uint8_t *>(call.record.data()), call.record.size()));
+    return {wire::Body::Call, offset.Union()};
+}
+
+std::pair<wire::Body, flatbuffers::Offset<void>> build(Builder &builder, const ForwardedAnswer &forwarded)
+{
+    const ClientAnswer &answer = forwarded.answer;
+    const auto offset = wire::CreateAnswer(builder, answer.call, static_cast<std::uint8_t>(answer.outcome),
+        static_cast<std::uint8_t>(answer.state), answer.count, answer.retryAfter.count());
+    return {wire::Body::Answer, offset.Union()};
+}
+
+std::pair<wire::Body, flatbuffers::Offset<void>> build(Builder &builder, const AdviceOrder &order)
+{
+    const AskAdvice &ask = order.ask;
+    const auto offset = wire::CreateAdviceOrder(builder, ask.call, ask.step.job, ask.step.occurrence, ask.step.step,
+        builder.CreateVectorOfStrings(ask.workers), ask.timeout.count());
+    return {wire::Body::AdviceOrder, offset.Union()};
+}
+
+std::pair<wire::Body, flatbuffers::Offset<void>> build(Builder &builder, const AdviceResult &result)
+{
+    std::vector<flatbuffers::Offset<wire::Ticket>> rows;
+    for (const Ticket &row : result.reply.allowed) {
+        rows.push_back(
+            wire::CreateTicket(builder, builder.CreateString(row.worker), builder.CreateString(row.ticket)));
+    }
+    const auto offset = wire::CreateAdviceResult(builder, result.reply.call,
+        static_cast<std::uint8_t>(result.reply.status), builder.CreateVector(rows), result.reply.validity.count());
+    return {wire::Body::AdviceResult, offset.Union()};
+}
+
+PeerBody read(const wire::Presence &presence)
+{
+    return Presence{.node = textOf(presence.node()),
+        .leader = {.token = presence.token(),
+            .node = textOf(presence.leader()),
+            .endpoint = {.ip = textOf(presence.leader_ip()), .port = presence.leader_port()}},
+        .configVersion = presence.config_version()};
+}
+
+PeerBody read(const wire::Call &call)
+{
+    ClientCall result{.call = call.exchange(),
+        .kind = enumOf(call.kind(), ClientCallKind::CountPending),
+        .queue = textOf(call.queue()),
+        .job = call.job(),
+        .record = {}};
+    if (call.record() != nullptr) {
+        result.record.assign(reinterpret_cast<const char *>(call.record()->data()), call.record()->size());
+    }
+    return ForwardedCall{.call = std::move(result)};
+}
+
+PeerBody read(const wire::Answer &answer)
+{
+    return ForwardedAnswer{.answer = {.call = answer.exchange(),
+                               .outcome = enumOf(answer.outcome(), ClientOutcome::NotLeader),
+                               .state = enumOf(answer.state(), JobState::Cancelled),
+                               .count = answer.count(),
+                               .retryAfter = milliseconds(answer.retry_after_ms())}};
+}
+
+PeerBody read(const wire::AdviceOrder &order)
+{
+    AskAdvice ask{.call = order.exchange(),
+        .step = {.job = order.job(), .occurrence = order.occurrence(), .step = order.step()},
+        .workers = {},
+        .timeout = milliseconds(order.timeout_ms())};
+    if (order.workers() != nullptr) {
+        for (const auto *worker : *order.workers()) {
+            ask.workers.push_back(textOf(worker));
+        }
+    }
+    return AdviceOrder{.ask = std::move(ask)};
+}
+
+PeerBody read(const wire::AdviceResult &result)
+{
+    AdviceReply reply{.call = result.exchange(),
+        .status = enumOf(result.status(), CallStatus::Unknown),
+        .allowed = {},
+        .validity = milliseconds(result.validity_ms())};
+    if (result.allowed() != nullptr) {
+        for (const auto *row : *result.allowed()) {
+            reply.allowed.push_back({.worker = textOf(row->worker()), .ticket = textOf(row->ticket())});
+        }
+    }
+    return AdviceResult{.reply = std::move(reply)};
+}
+
+} // namespace
+
+std::string encodePeerBody(const PeerBody &body)
+{
+    Builder builder(firstBufferBytes);
+    const auto [type, offset] = std::visit([&builder](const auto &message) { return build(builder, message); }, body);
+    builder.Finish(wire::CreateEnvelope(builder, type, offset));
+    const std::size_t size = builder.GetSize();
+    std::string frame;
+    frame.reserve(frameHeaderSize + size);
+    for (std::size_t i = 0; i < frameHeaderSize; ++i) {
+        frame.push_back(static_cast<char>((size >> (8 * i)) & 0xff));
+    }
+    frame.append(reinterpret_cast<const char *>(builder.GetBufferPointer()), size);
+    return frame;
+}
+
+std::optional<PeerBody> decodePeerBody(std::span<const std::byte> bytes)
+{
+    // FlatBuffers reads numbers in place, so the buffer must be aligned for the largest of them.
+    std::vector<std::uint64_t> aligned((bytes.size() + sizeof(std::uint64_t) - 1) / sizeof(std::uint64_t));
+    std::memcpy(aligned.data(), bytes.data(), bytes.size());
+    const auto *data = reinterpret_cast<const std::uint8_t *>(aligned.data());
+    flatbuffers::Verifier verifier(data, bytes.size());
+    if (!wire::VerifyEnvelopeBuffer(verifier)) {
+        return std::nullopt;
+    }
+    const wire::Envelope *envelope = wire::GetEnvelope(data);
+    switch (envelope->body_type()) {
+    case wire::Body::Presence:
+        return read(*envelope->body_as_Presence());
+    case wire::Body::Call:
+        return read(*envelope->body_as_Call());
+    case wire::Body::Answer:
+        return read(*envelope->body_as_Answer());
+    case wire::Body::AdviceOrder:
+        return read(*envelope->body_as_AdviceOrder());
+    case wire::Body::AdviceResult:
+        return read(*envelope->body_as_AdviceResult());
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace wigeonkeel::dispatch
--- a/drivers/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -20,6 +20,7 @@
     std::string method;
     std::string path;
     std::string body;
+    HttpHeaders headers;
     std::string step;
     MonotonicTime deadline;
     evhttp_request *request = nullptr;
@@ -147,13 +148,14 @@
         .retryAfter = {}};
 }
 
-void HttpConnection::request(
-    std::string_view method, std::string_view path, std::string_view body, milliseconds timeout, Callback callback)
+void HttpConnection::request(std::string_view method, std::string_view path, std::string_view body,
+    milliseconds timeout, Callback callback, HttpHeaders headers)
 {
     m_queue.push_back(std::make_unique<Pending>(Pending{.callback = std::move(callback),
         .method = std::string(method),
         .path = std::string(path),
         .body = std::string(body),
+        .headers = std::move(headers),
         .step = fmt::format("{} {}", method, path.substr(0, path.find('?'))),
         .deadline = m_loop.now() + timeout,
         .detail = {}}));
@@ -181,6 +183,9 @@
     for (const auto &[name, value] : m_headers) {
         evhttp_add_header(headers, name.c_str(), value.c_str());
     }
+    for (const auto &[name, value] : m_active->headers) {
+        evhttp_add_header(headers, name.c_str(), value.c_str());
+    }
     evhttp_add_header(headers, "Host", m_peer.c_str());
     // It describes a body; most calls of an idle daemon have none, and the header is a quarter of them.
     if (!m_active->body.empty()) {
--- a/drivers/http/http_client.h
+++ b/drivers/http/http_client.h
@@ -34,6 +34,8 @@
     std::uint64_t *received = nullptr;
 };
 
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
 /// One kept-alive HTTP connection to an address. Requests are sent one after the other and never repeated.
 class HttpConnection
 {
@@ -47,8 +49,10 @@
 
     /// Sends a request. The callback is called once, from the loop and at the latest when the timeout has passed since
     /// this call, unless the connection is destroyed before.
-    void request(
-        std::string_view method, std::string_view path, std::string_view body, milliseconds timeout, Callback callback);
+    void request(std::string_view method, std::string_view path, std::string_view body, milliseconds timeout,
+        Callback callback, HttpHeaders headers = {});
+    /// Nothing is under way or waits to be sent.
+    bool isIdle() const { return !m_active && m_queue.empty(); }
     const std::string &peer() const { return m_peer; }
     /// Adds a header to each later request.
     void addHeader(std::string name, std::string value) { m_headers.emplace_back(std::move(name), std::move(value)); }
@@ -80,7 +84,7 @@
     std::deque<std::unique_ptr<Pending>> m_queue;
     std::unique_ptr<Timer> m_timer;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
-    std::vector<std::pair<std::string, std::string>> m_headers;
+    HttpHeaders m_headers;
     HttpByteCounts m_counts;
 };
 
--- a/main/ctl/transport.cpp
+++ b/main/ctl/transport.cpp
@@ -2,7 +2,7 @@
 
 #include "core/event_loop.h"
 #include "drivers/http/http_client.h"
-#include "platform/system_clock.h"
+#include "drivers/clock/system_clock.h"
 
 #include <cstdio>
 #include <optional>
--- a/main/daemon_setup.cpp
+++ b/main/daemon_setup.cpp
@@ -174,48 +174,4 @@
     return scheduler;
 }
 
-RunningPlugins::RunningPlugins(Kernel &kernel)
-    : m_kernel(kernel)
-{
-}
-
-RunningPlugins::~RunningPlugins()
-{
-    while (!m_running.empty()) {
-        const auto [plugin, state] = m_running.back();
-        m_running.pop_back();
-        plugin.stop(state);
-    }
-}
-
-void RunningPlugins::stopAccepting()
-{
-    for (const auto &[plugin, state] : m_running) {
-        if (plugin.stopAccepting != nullptr) {
-            plugin.stopAccepting(state);
-        }
-    }
-}
-
-bool RunningPlugins::isBusy() const
-{
-    return std::ranges::any_of(m_running,
-        [](const auto &running) { return running.first.isBusy != nullptr && running.first.isBusy(running.second); });
-}
-
-bool RunningPlugins::start()
-{
-    std::vector<Plugin> ordered = m_kernel.registry.plugins;
-    std::ranges::stable_sort(ordered, {}, &Plugin::level);
-    for (const Plugin &plugin : ordered) {
-        void *state = plugin.start(m_kernel);
-        if (state == nullptr) {
-            logLine(LogLevel::Error, "main", "Module {} could not start.", plugin.name);
-            return false;
-        }
-        m_running.emplace_back(plugin, state);
-    }
-    return true;
-}
-
 } // namespace wigeonkeel
--- a/main/wigeonkeeld.cpp
+++ b/main/wigeonkeeld.cpp
@@ -3,7 +3,7 @@
 #include "core/registry.h"
 #include "core/settings.h"
 #include "main/daemon_setup.h"
-#include "platform/system_clock.h"
+#include "drivers/clock/system_clock.h"
 
 #include <csignal>
 #include <cstdio>
@@ -64,7 +64,7 @@
     Timer ticks(loop, [&kernel] { post(kernel, TickEvent{}); });
     ticks.startRepeating(settings.duration("daemon.tick"));
 
-    RunningPlugins plugins(kernel);
+    RunningPlugins plugins(kernel, registry.plugins);
     // The signal is repeated with each tick. A request that was under way when the listener closed is still refused
     // with an answer, and answers that are being written are waited for.
     int ticksSinceClosed = 0;
--- /dev/null
+++ b/modules/cluster_link/cluster_links.cpp
@@ -0,0 +1,185 @@
+#include "modules/cluster_link/cluster_links.h"
+
+#include "core/log.h"
+#include "drivers/cluster_protocol/cluster_codec.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+#include <vector>
+
+namespace wigeonkeel::dispatch
+{
+
+namespace
+{
+
+constexpr std::string_view logPart = "cluster_link";
+/// Daemons send a presence every 300 ms; three missing ones mean that the connection delivers nothing.
+constexpr milliseconds silence{1000};
+constexpr milliseconds silenceCheck{200};
+/// A daemon that leaves more than this unread is disconnected.
+constexpr std::size_t maxQueuedBytes = 4 << 20;
+
+void close(ClusterLinks &links, std::uint64_t id, std::string_view reason)
+{
+    const auto found = links.connections.find(id);
+    if (found == links.connections.end()) {
+        return;
+    }
+    const ClusterConnection connection = std::move(found->second);
+    links.connections.erase(found);
+    const bool wasDialled = links.dialledId == id;
+    const Endpoint target = links.target;
+    if (wasDialled) {
+        links.dialledId = 0;
+        links.target = {};
+    }
+    logLine(LogLevel::Info, logPart, "Connection ended. node={} reason={}", connection.node, reason);
+    const bool wasLast = std::ranges::none_of(
+        links.connections, [&connection](const auto &other) { return other.second.node == connection.node; });
+    post(links.kernel, [&](Node &node, Now now) {
+        if (!connection.node.empty() && wasLast) {
+            nodeDisconnected(node, connection.node, now);
+        }
+        if (wasDialled) {
+            dialFailed(node, target, reason == std::strerror(ECONNREFUSED), now);
+        }
+    });
+}
+
+void onConnected(void *state, std::uint64_t id)
+{
+    auto &links = *static_cast<ClusterLinks *>(state);
+    const auto found = links.connections.find(id);
+    if (found != links.connections.end()) {
+        // The first message names this daemon.
+        const Presence hello{.node = links.kernel.node.options.name,
+            .leader = links.kernel.node.leadership.leader,
+            .configVersion = links.kernel.node.configuration.version};
+        found->second.frames->send(encodePeerBody(hello));
+    }
+}
+
+void onFrame(void *state, std::uint64_t id, std::span<const std::byte> bytes)
+{
+    auto &links = *static_cast<ClusterLinks *>(state);
+    const auto found = links.connections.find(id);
+    if (found == links.connections.end()) {
+        return;
+    }
+    ClusterConnection &connection = found->second;
+    connection.heardAt = links.kernel.clock.now();
+    const auto body = decodePeerBody(bytes);
+    if (!body) {
+        logLine(LogLevel::Warning, logPart, "A message can't be read. node={} bytes={}", connection.node, bytes.size());
+        return;
+    }
+    const auto *presence = std::get_if<Presence>(&*body);
+    const bool isNew = connection.node.empty() && presence != nullptr;
+    if (isNew) {
+        connection.node = presence->node;
+    }
+    post(links.kernel, [&](Node &node, Now now) {
+        if (isNew) {
+            nodeConnected(node, presence->node, now);
+        }
+        takePeerMessage(node, connection.node, *body, now);
+    });
+}
+
+void onRefused(void *state, std::uint64_t id, FrameProblem)
+{
+    close(*static_cast<ClusterLinks *>(state), id, "a frame of a wrong length");
+}
+
+void onClosed(void *state, std::uint64_t id, std::string_view reason)
+{
+    close(*static_cast<ClusterLinks *>(state), id, reason);
+}
+
+FrameHandlers handlers(ClusterLinks &links, std::uint64_t id)
+{
+    return {.state = &links, .id = id, .connected = onConnected, .frame = onFrame, .refused = onRefused, .closed = onClosed};
+}
+
+void dial(ClusterLinks &links, const Endpoint &endpoint)
+{
+    if (links.dialledId != 0) {
+        const std::uint64_t former = std::exchange(links.dialledId, 0);
+        close(links, former, "another daemon is dialled");
+    }
+    links.target = endpoint;
+    if (endpoint.ip.empty()) {
+        return;
+    }
+    const std::uint64_t id = links.nextId++;
+    links.dialledId = id;
+    ClusterConnection &connection = links.connections[id];
+    connection.dialled = true;
+    connection.heardAt = links.kernel.clock.now();
+    connection.frames
+        = std::make_unique<FrameConnection>(links.kernel.loop, endpoint.ip, endpoint.port, handlers(links, id));
+}
+
+void send(ClusterLinks &links, const SendToNode &message)
+{
+    // The newest connection with the daemon: an older one may have gone silent.
+    std::uint64_t best = 0;
+    for (const auto &[id, connection] : links.connections) {
+        best = connection.node == message.node ? id : best;
+    }
+    if (best == 0) {
+        return;
+    }
+    FrameConnection &frames = *links.connections.at(best).frames;
+    if (frames.queuedBytes() > maxQueuedBytes) {
+        close(links, best, "the daemon does not read");
+        return;
+    }
+    frames.send(encodePeerBody(message.body));
+}
+
+void closeSilent(ClusterLinks &links)
+{
+    const MonotonicTime now = links.kernel.clock.now();
+    std::vector<std::uint64_t> silent;
+    for (const auto &[id, connection] : links.connections) {
+        if (now - connection.heardAt > silence) {
+            silent.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : silent) {
+        close(links, id, "nothing was heard");
+    }
+}
+
+} // namespace
+
+Error startLinks(ClusterLinks &links)
+{
+    const auto accept = [](void *state, int socket) {
+        auto &owner = *static_cast<ClusterLinks *>(state);
+        const std::uint64_t id = owner.nextId++;
+        ClusterConnection &connection = owner.connections[id];
+        connection.heardAt = owner.kernel.clock.now();
+        connection.frames = std::make_unique<FrameConnection>(owner.kernel.loop, socket, handlers(owner, id));
+    };
+    links.listener = std::make_unique<FrameListener>(links.kernel.loop, accept, &links);
+    links.silenceTimer = std::make_unique<Timer>(links.kernel.loop, [&links] { closeSilent(links); });
+    links.silenceTimer->startRepeating(silenceCheck);
+    links.actions = links.kernel.action.connect([&links](const Action &action) { handleAction(links, action); });
+    return links.listener->listen(links.kernel.listenForPeers.ip, links.kernel.listenForPeers.port);
+}
+
+void handleAction(ClusterLinks &links, const Action &action)
+{
+    if (const auto *message = std::get_if<SendToNode>(&action)) {
+        send(links, *message);
+    } else if (const auto *dialled = std::get_if<DialNode>(&action)) {
+        dial(links, dialled->endpoint);
+    }
+}
+
+} // namespace wigeonkeel::dispatch
--- a/standins/store/store_standin.cpp
+++ b/standins/store/store_standin.cpp
@@ -2,7 +2,7 @@
 #include "core/log.h"
 #include "drivers/http/http_server.h"
 #include "drivers/store_protocol/store_json.h"
-#include "platform/system_clock.h"
+#include "drivers/clock/system_clock.h"
 #include "standins/json_reply.h"
 #include "standins/store/store_model.h"
 
--- a/standins/vm_list/vm_list_standin.cpp
+++ b/standins/vm_list/vm_list_standin.cpp
@@ -2,7 +2,7 @@
 #include "core/log.h"
 #include "drivers/http/http_server.h"
 #include "drivers/vm_list_protocol/vm_list_json.h"
-#include "platform/system_clock.h"
+#include "drivers/clock/system_clock.h"
 #include "standins/json_reply.h"
 #include "standins/vm_list/vm_list_model.h"
 
--- a/standins/worker/worker_standin.cpp
+++ b/standins/worker/worker_standin.cpp
@@ -3,7 +3,7 @@
 #include "core/log.h"
 #include "drivers/http/http_server.h"
 #include "drivers/worker_protocol/renew_call.h"
-#include "platform/system_clock.h"
+#include "drivers/clock/system_clock.h"
 #include "standins/json_reply.h"
 #include "standins/worker/worker_model.h"
 
--- a/tests/contract/worker_contract_test.cpp
+++ b/tests/contract/worker_contract_test.cpp
@@ -1,5 +1,5 @@
 #include "modules/worker_http/worker_link.h"
-#include "platform/system_clock.h"
+#include "drivers/clock/system_clock.h"
 #include "standins/worker/worker_model.h"
 #include "tests/contract/standin_process.h"
 
--- a/tests/drivers/http/http_server_test.cpp
+++ b/tests/drivers/http/http_server_test.cpp
@@ -1,6 +1,6 @@
 #include "drivers/http/http_server.h"
 
-#include "platform/system_clock.h"
+#include "drivers/clock/system_clock.h"
 #include "tests/contract/standin_process.h"
 #include "tests/drivers/http/raw_socket.h"
 
