dispatch: a failed attempt counts once; a new leader hears all workers of the former one

Change: failed attempts are kept by number; the leader stores which workers it has had to do with; lists are read only after the jobs were inherited; attempts skip eight numbers after a takeover.

--- a/core/dispatch/commit_streams.h
+++ b/core/dispatch/commit_streams.h
@@ -12,7 +12,7 @@
 {
 
 /// What a commit was for; given back when it is stored.
-enum class CommitKind : std::uint8_t { Accept, Progress, End };
+enum class CommitKind : std::uint8_t { Accept, Progress, End, Workers };
 
 struct CommitTag
 {
--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -237,6 +237,10 @@
 
 void takeStored(Dispatcher &dispatcher, const CommitTag &tag, MonotonicTime now)
 {
+    if (tag.kind == CommitKind::Workers) {
+        dispatcher.workersCommitOpen = false;
+        return;
+    }
     Job *job = findJob(dispatcher.jobs, tag.job);
     if (job == nullptr) {
         return;
@@ -281,6 +285,19 @@
     }
 }
 
+void storeWorkers(Dispatcher &dispatcher, MonotonicTime now)
+{
+    if (!dispatcher.workersChanged || dispatcher.workersCommitOpen || !dispatcher.inheritanceSettled) {
+        return;
+    }
+    dispatcher.workersChanged = false;
+    dispatcher.workersCommitOpen = true;
+    dispatcher.commits.waiting.push_back({.tag = {.kind = CommitKind::Workers},
+        .writes = {{.key = std::string(workersKey), .value = encodeWorkers(dispatcher.workers)}},
+        .deletes = {},
+        .queuedAt = now});
+}
+
 void keepEndLease(Dispatcher &dispatcher, MonotonicTime now)
 {
     const bool isGood = dispatcher.commits.endLease != 0 && now < dispatcher.endLeaseUntil;
@@ -399,6 +416,7 @@
         startOccurrences(dispatcher, now);
         refuseUnsentJobs(dispatcher, now.monotonic);
         forgetEnded(dispatcher, now.monotonic);
+        storeWorkers(dispatcher, now.monotonic);
         dispatcher.placementDue = true;
     }
     if (dispatcher.endsLoaded && !dispatcher.deferredCalls.empty()) {
@@ -457,17 +475,46 @@
     }
 }
 
+namespace
+{
+
+/// A former leader may have used numbers that no record tells of. A gap keeps its late runs apart from new ones.
+void skipAttempts(Job &job)
+{
+    constexpr std::uint32_t skippedAttempts = 8;
+    for (Occurrence &occurrence : job.occurrences) {
+        for (StepRun &step : occurrence.steps) {
+            // A gang that runs keeps its number: its members' ends are told from others by it.
+            step.gangAttempt += step.waiting == step.remaining ? skippedAttempts : 0;
+            for (Task &task : step.tasks) {
+                task.attempt += task.phase == TaskPhase::Waiting ? skippedAttempts : 0;
+            }
+        }
+    }
+}
+
+} // namespace
+
 void settleInheritance(Dispatcher &dispatcher, MonotonicTime now)
 {
     if (dispatcher.inheritanceSettled) {
         return;
     }
-    const auto hasAnswered = [](const Worker &worker) { return worker.greeted || !worker.listed; };
+    const auto hasAnswered
+        = [](const Worker &worker) { return worker.greeted || (!worker.listed && !worker.inherited); };
     const bool known = !dispatcher.workers.workers.empty()
         && std::ranges::all_of(dispatcher.workers.workers, hasAnswered);
     if (known || now >= dispatcher.inheritanceSettlesAt) {
         dispatcher.inheritanceSettled = true;
         dispatcher.placementDue = true;
+        for (Worker &worker : dispatcher.workers.workers) {
+            worker.inherited = false;
+        }
+        for (auto &[id, job] : dispatcher.jobs.live) {
+            if (job->inherited) {
+                skipAttempts(*job);
+            }
+        }
         logLine(LogLevel::Info, logPart, "Inherited jobs are settled. jobs={} every_worker_answered={}",
             dispatcher.jobs.live.size(), known);
     }
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -85,6 +85,9 @@
     bool endsLoaded = false;
     /// Another leader was seen; nothing more is ordered.
     bool deposed = false;
+    /// The store's record of the workers is out of date.
+    bool workersChanged = false;
+    bool workersCommitOpen = false;
     /// Something changed that may let a task start.
     bool placementDue = false;
     MonotonicTime nextSupervision{};
@@ -121,6 +124,7 @@
 
 /// Jobs of a former leader, from the store. Their runs are learned from the workers.
 void inheritJob(Dispatcher &dispatcher, const JobRecord &record, std::string_view progress, Now now);
+void inheritWorkers(Dispatcher &dispatcher, std::span<const WorkerEntry> entries);
 void inheritEnd(Dispatcher &dispatcher, JobId id, JobState state, MonotonicTime now);
 
 /// What a takeover found in the workers settles the inherited jobs.
--- a/core/dispatch/job_table.h
+++ b/core/dispatch/job_table.h
@@ -21,7 +21,9 @@
     TaskPhase phase = TaskPhase::Waiting;
     /// Number of the last start; 0 before the first.
     std::uint32_t attempt = 0;
-    std::uint32_t failures = 0;
+    /// Attempts that ended as failed. A new leader sees ends again, in any order, that the workers were not told to
+    /// forget; each counts once.
+    std::vector<std::uint32_t> failedAttempts;
     /// Where the present run is or may be.
     WorkerSlot worker = noWorker;
     WorkerSlot failedOn = noWorker;
@@ -62,7 +64,8 @@
     MonotonicTime adviceRetryAt{};
     /// Starts of a gang share one number.
     std::uint32_t gangAttempt = 0;
-    std::uint32_t gangFailures = 0;
+    /// Several members may end as failed in one attempt, which counts once.
+    std::vector<std::uint32_t> gangFailedAttempts;
     /// The gang's present attempt is being undone.
     bool gangAborting = false;
     MonotonicTime gangStartedAt{};
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -228,6 +228,21 @@
     dispatcher.inheritanceSettlesAt = now + std::chrono::ceil<milliseconds>(lease) + inheritanceMargin;
 }
 
+/// The record is as the former leader left it: the claim's conditions on the chains held.
+void inheritWorkersFrom(Node &node)
+{
+    const StoreItem *record = findItem(node.leadership.control, workersKey);
+    if (record == nullptr) {
+        return;
+    }
+    std::string problem;
+    const std::vector<WorkerEntry> entries = decodeWorkers(record->value, problem);
+    if (!problem.empty()) {
+        logLine(LogLevel::Error, logPart, "The record of workers can't be read. problem={}", problem);
+    }
+    inheritWorkers(*node.dispatcher, entries);
+}
+
 void takeClaimResult(Node &node, const StoreReply &reply, Now now)
 {
     Leadership &leadership = node.leadership;
@@ -250,6 +265,7 @@
     node.dialled = {};
     node.outbox.add(DialNode{});
     makeDispatcher(node, reply.revision, now.monotonic);
+    inheritWorkersFrom(node);
     leadership.loadAfter.clear();
     setPhase(node, ClaimPhase::LoadingJobs, now.monotonic);
     loadPage(node, StorePurpose::LoadJobs, jobPrefix);
--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -471,7 +471,8 @@
     tickMembership(node, now);
     tickLeadership(node, now);
     tickWorkers(node, now);
-    if (node.dispatcher) {
+    // Before the jobs are inherited, the workers' lists would be taken for those of unknown jobs.
+    if (isLeading(node)) {
         doUpkeep(*node.dispatcher, now);
         if (node.dispatcher->deposed) {
             stepDown(node, "a newer leader's orders or records were seen", now);
--- a/core/dispatch/records.cpp
+++ b/core/dispatch/records.cpp
@@ -117,7 +117,7 @@
     return queue;
 }
 
-/// [index, failures, attempt, checkpoint] for each task that has something to keep.
+/// [index, failed attempts, attempt, checkpoint] for each task that has something to keep.
 Json tasksToJson(const StepRun &step)
 {
     Json done = Json::array();
@@ -126,13 +126,13 @@
         const Task &task = step.tasks[i];
         if (task.phase == TaskPhase::Done) {
             done.push_back(i);
-        } else if (task.failures != 0 || task.attempt != 0) {
-            tried.push_back(Json::array({i, task.failures, task.attempt, task.checkpoint}));
+        } else if (!task.failedAttempts.empty() || task.attempt != 0) {
+            tried.push_back(Json::array({i, task.failedAttempts, task.attempt, task.checkpoint}));
         }
     }
     Json json = {{"done", std::move(done)}, {"tried", std::move(tried)}};
-    if (step.gangFailures != 0) {
-        json["gang"] = step.gangFailures;
+    if (!step.gangFailedAttempts.empty()) {
+        json["gang"] = step.gangFailedAttempts;
     }
     return json;
 }
@@ -154,12 +154,12 @@
             return false;
         }
         Task &task = step.tasks[place];
-        task.failures = row.at(1).get<std::uint32_t>();
+        task.failedAttempts = row.at(1).get<std::vector<std::uint32_t>>();
         task.attempt = row.at(2).get<std::uint32_t>();
         task.checkpoint = row.at(3).get<std::string>();
         step.gangAttempt = std::max(step.gangAttempt, task.attempt);
     }
-    step.gangFailures = json.value("gang", 0U);
+    step.gangFailedAttempts = json.value("gang", std::vector<std::uint32_t>{});
     return true;
 }
 
@@ -275,6 +275,32 @@
     return applied.value_or(false);
 }
 
+std::string encodeWorkers(const WorkerTable &table)
+{
+    Json rows = Json::array();
+    for (const Worker &worker : table.workers) {
+        if (worker.listed || !worker.runs.empty()) {
+            const WorkerEntry &entry = worker.entry;
+            rows.push_back(Json::array({entry.id, entry.endpoint.ip, entry.endpoint.port, entry.incarnation}));
+        }
+    }
+    return dumpJson(rows);
+}
+
+std::vector<WorkerEntry> decodeWorkers(std::string_view text, std::string &problem)
+{
+    const auto entries = decodeJson<std::vector<WorkerEntry>>(text, problem, [](const Json &rows) {
+        std::vector<WorkerEntry> result;
+        for (const Json &row : rows) {
+            result.push_back({.id = row.at(0).get<std::string>(),
+                .endpoint = {.ip = row.at(1).get<std::string>(), .port = row.at(2).get<std::uint16_t>()},
+                .incarnation = row.at(3).get<std::int64_t>()});
+        }
+        return std::optional(std::move(result));
+    });
+    return entries.value_or(std::vector<WorkerEntry>{});
+}
+
 std::string_view encodeEnd(JobState state)
 {
     const auto found = std::ranges::find(endTexts, state, &std::pair<JobState, std::string_view>::first);
--- a/core/dispatch/records.h
+++ b/core/dispatch/records.h
@@ -28,6 +28,12 @@
 /// Applies stored progress to a job that was just made from its record.
 bool applyProgress(Job &job, std::string_view text, std::string &problem);
 
+/// Workers that a leader has had to do with. The directory may forget workers while the store is away; a new leader
+/// has to hear all that may hold runs.
+inline constexpr std::string_view workersKey = "wk/ctl/workers";
+std::string encodeWorkers(const WorkerTable &table);
+std::vector<WorkerEntry> decodeWorkers(std::string_view text, std::string &problem);
+
 std::string_view encodeEnd(JobState state);
 std::optional<JobState> decodeEnd(std::string_view text);
 
--- a/core/dispatch/task_runs.cpp
+++ b/core/dispatch/task_runs.cpp
@@ -129,19 +129,14 @@
     Dispatcher &dispatcher, const TaskPlace &place, const TaskKey &key, std::uint32_t attempt, MonotonicTime now)
 {
     const std::uint32_t limit = queueOf(dispatcher, *place.job).maxAttempts;
-    std::uint32_t failures = 0;
-    if (place.spec->gang) {
-        // Several members may end as failed in one attempt, which counts once.
-        if (attempt == place.step->gangAttempt && !place.step->gangAborting) {
-            ++place.step->gangFailures;
-        }
-        failures = place.step->gangFailures;
-    } else {
-        failures = ++place.task->failures;
+    std::vector<std::uint32_t> &failed
+        = place.spec->gang ? place.step->gangFailedAttempts : place.task->failedAttempts;
+    if (std::ranges::find(failed, attempt) == failed.end()) {
+        failed.push_back(attempt);
     }
     logLine(LogLevel::Info, logPart, "Run failed. task={} attempt={} failures={} limit={}", formatTaskKey(key), attempt,
-        failures, limit);
-    if (failures >= limit && !place.spec->longRunning) {
+        failed.size(), limit);
+    if (failed.size() >= limit && !place.spec->longRunning) {
         endJob(dispatcher, *place.job, JobState::Failed, now);
     }
 }
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -38,7 +38,7 @@
 
 bool isAlive(const Worker &worker)
 {
-    return worker.listed || !worker.runs.empty();
+    return worker.listed || worker.inherited || !worker.runs.empty();
 }
 
 /// The worker was born anew: what ran there is gone.
@@ -407,9 +407,20 @@
 
 } // namespace
 
+void inheritWorkers(Dispatcher &dispatcher, std::span<const WorkerEntry> entries)
+{
+    for (const WorkerEntry &entry : entries) {
+        Worker &worker = dispatcher.workers.workers[addWorker(dispatcher.workers, entry.id)];
+        worker.entry = entry;
+        worker.listed = false;
+        worker.inherited = true;
+    }
+}
+
 void updateWorkers(Dispatcher &dispatcher, std::span<const WorkerEntry> entries, MonotonicTime now)
 {
     std::vector<bool> seen(dispatcher.workers.workers.size(), false);
+    bool changed = false;
     for (const WorkerEntry &entry : entries) {
         const WorkerSlot slot = addWorker(dispatcher.workers, entry.id);
         seen.resize(dispatcher.workers.workers.size(), false);
@@ -419,6 +430,7 @@
         if (entry.incarnation < known) {
             continue;
         }
+        changed = changed || !worker.listed || entry.incarnation != known;
         setIncarnation(dispatcher, slot, entry.incarnation, now);
         if (entry.draining && !worker.entry.draining) {
             logLine(LogLevel::Info, logPart, "Worker drains. worker={} leaves_in_ms={} runs={}", entry.id,
@@ -432,10 +444,12 @@
         if (!seen[slot] && worker.listed) {
             worker.listed = false;
             worker.unlistedSince = now;
+            changed = true;
             logLine(LogLevel::Info, logPart, "Worker left the directory. worker={} runs={}", worker.entry.id,
                 worker.runs.size());
         }
     }
+    dispatcher.workersChanged = dispatcher.workersChanged || changed;
     dispatcher.placementDue = true;
 }
 
@@ -500,7 +514,7 @@
     }
     worker.renewalFailures = 0;
     worker.greeted = true;
-    worker.renewalOpen = false;
+    worker.inherited = false;
     takeLists(dispatcher, slot, reply, worker.renewalSentAt, now);
     planRenewal(worker, now);
 }
--- a/core/dispatch/worker_table.h
+++ b/core/dispatch/worker_table.h
@@ -63,6 +63,8 @@
     WorkerEntry entry;
     /// False once the directory no longer lists the worker.
     bool listed = true;
+    /// Known from a former leader and not heard yet; may hold runs of inherited jobs.
+    bool inherited = false;
     /// Since when the directory doesn't list it.
     MonotonicTime unlistedSince{};
     /// The worker answered under this leader's token, so that older orders are refused.
