--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -508,7 +508,10 @@
         stepDown(node, "another daemon has claimed leadership", now);
     }
     leadership.leader = leader;
-    leadership.leaderConnected = false;
+    // The connection may be open already: the leader was asked as a seed, or has asked this daemon.
+    leadership.leaderConnected
+        = std::ranges::find(node.connectedNodes, leader.node) != node.connectedNodes.end();
+    leadership.leaderHeardAt = leadership.leaderConnected ? now.monotonic : leadership.leaderHeardAt;
     leadership.leaderRefused = false;
     leadership.claimMissing = false;
     leadership.claimAt = MonotonicTime::max();
--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -28,6 +28,8 @@
 constexpr milliseconds workerPollInterval{600};
 constexpr milliseconds workerPollRetry{150};
 constexpr milliseconds presenceInterval{300};
+/// A daemon that knows no leader asks another seed after this.
+constexpr milliseconds seedInterval{700};
 /// A call that no leader could be given is refused after this: a takeover takes less than a second.
 constexpr milliseconds leaderPatience{1100};
 constexpr milliseconds noLeaderRetryAfter{1000};
@@ -230,11 +232,12 @@
     setAdviceLines(node.dispatcher->advisor, lines);
 }
 
-void dialSeed(Node &node)
+void dialSeed(Node &node, Now now)
 {
-    if (node.options.seeds.empty()) {
+    if (node.options.seeds.empty() || now.monotonic < node.nextSeed) {
         return;
     }
+    node.nextSeed = now.monotonic + seedInterval;
     const Endpoint &seed = node.options.seeds[randomBelow(node.random, node.options.seeds.size())];
     if (!(seed == node.options.endpoint) && !(seed == node.dialled)) {
         node.dialled = seed;
@@ -480,7 +483,7 @@
     }
     if (!isLeading(node) && !node.leadership.leaderConnected) {
         if (node.leadership.leader.token == 0) {
-            dialSeed(node);
+            dialSeed(node, now);
         } else {
             dialLeader(node);
         }
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -167,6 +167,7 @@
     bool ready = false;
     bool shuttingDown = false;
     Endpoint dialled;
+    MonotonicTime nextSeed{};
 };
 
 // --- events ---
