workers: a look at a worker that does not answer asks for no lease

Change: only the look after an answered one asks for a lease; a look that was surely not sent takes its lease back.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -51,16 +51,14 @@
 /// True if some worker of the pool could ever hold a task of each step. Unknown pools may still fill.
 bool isPossible(const Dispatcher &dispatcher, const JobRecord &record)
 {
-    const auto ofPool = [&record](const Worker &worker) {
-        return worker.listed && worker.entry.pool == record.queue.pool;
-    };
+    const auto ofPool
+        = [&record](const Worker &worker) { return worker.listed && worker.entry.pool == record.queue.pool; };
     if (std::ranges::none_of(dispatcher.workers.workers, ofPool)) {
         return true;
     }
     return std::ranges::all_of(record.spec.steps, [&](const StepSpec &step) {
-        return std::ranges::any_of(dispatcher.workers.workers, [&](const Worker &worker) {
-            return ofPool(worker) && fits(chargedSize(step), worker.entry.capacity);
-        });
+        return std::ranges::any_of(dispatcher.workers.workers,
+            [&](const Worker &worker) { return ofPool(worker) && fits(chargedSize(step), worker.entry.capacity); });
     });
 }
 
@@ -105,7 +103,8 @@
     std::string problem;
     auto record = decodeJobRecord(call.record, problem);
     if (!record) {
-        logLine(LogLevel::Error, logPart, "A submission can't be read. job={} problem={}", formatJobId(call.job), problem);
+        logLine(
+            LogLevel::Error, logPart, "A submission can't be read. job={} problem={}", formatJobId(call.job), problem);
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Impossible});
         return;
     }
@@ -156,8 +155,7 @@
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::NoSuchJob});
         return;
     }
-    answer(dispatcher,
-        {.call = call.call, .outcome = ClientOutcome::Ok, .state = shownState(dispatcher, *job, now)});
+    answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok, .state = shownState(dispatcher, *job, now)});
 }
 
 void cancel(Dispatcher &dispatcher, const ClientCall &call, MonotonicTime now)
@@ -185,8 +183,7 @@
         const Job &job = *entry.second;
         return job.accepted && !job.started && !isEnded(job.state) && job.record.queue.name == call.queue;
     });
-    answer(dispatcher,
-        {.call = call.call, .outcome = ClientOutcome::Ok, .count = static_cast<std::uint64_t>(pending)});
+    answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok, .count = static_cast<std::uint64_t>(pending)});
 }
 
 void markEndsStored(Dispatcher &dispatcher, std::span<const UnstoredEnd> ends, MonotonicTime now)
@@ -275,7 +272,8 @@
     for (const JobId id : refused) {
         const Job *job = findJob(dispatcher.jobs, id);
         for (const CallId call : job->waitingSubmits) {
-            refuse(dispatcher, {.call = call, .kind = ClientCallKind::Submit, .queue = job->record.queue.name, .job = id},
+            refuse(dispatcher,
+                {.call = call, .kind = ClientCallKind::Submit, .queue = job->record.queue.name, .job = id},
                 outageRetryAfter, "store away");
         }
         for (const CallId call : job->waitingCancels) {
@@ -305,8 +303,8 @@
         return;
     }
     dispatcher.endLeaseCall = dispatcher.outbox->newCall();
-    dispatcher.outbox->add(StoreOpenLease{
-        .call = dispatcher.endLeaseCall, .timeToLive = dispatcher.bounds.keepEnded + endLeaseSpare});
+    dispatcher.outbox->add(
+        StoreOpenLease{.call = dispatcher.endLeaseCall, .timeToLive = dispatcher.bounds.keepEnded + endLeaseSpare});
 }
 
 void startOccurrences(Dispatcher &dispatcher, Now now)
@@ -346,8 +344,7 @@
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::NotLeader});
         return;
     }
-    const bool isKnown
-        = dispatcher.jobs.live.contains(call.job) || dispatcher.jobs.ended.contains(call.job);
+    const bool isKnown = dispatcher.jobs.live.contains(call.job) || dispatcher.jobs.ended.contains(call.job);
     if (!dispatcher.endsLoaded && !isKnown && call.kind != ClientCallKind::CountPending) {
         dispatcher.deferredCalls.push_back(call);
         return;
@@ -502,8 +499,8 @@
     }
     const auto hasAnswered
         = [](const Worker &worker) { return worker.greeted || (!worker.listed && !worker.inherited); };
-    const bool known = !dispatcher.workers.workers.empty()
-        && std::ranges::all_of(dispatcher.workers.workers, hasAnswered);
+    const bool known
+        = !dispatcher.workers.workers.empty() && std::ranges::all_of(dispatcher.workers.workers, hasAnswered);
     if (known || now >= dispatcher.inheritanceSettlesAt) {
         dispatcher.inheritanceSettled = true;
         dispatcher.placementDue = true;
--- a/core/dispatch/job_table.cpp
+++ b/core/dispatch/job_table.cpp
@@ -25,8 +25,7 @@
 
 Occurrence makeOccurrence(const JobSpec &spec, std::uint32_t number)
 {
-    Occurrence occurrence{
-        .number = number, .steps = {}, .stepsLeft = static_cast<std::uint32_t>(spec.steps.size())};
+    Occurrence occurrence{.number = number, .steps = {}, .stepsLeft = static_cast<std::uint32_t>(spec.steps.size())};
     for (const StepSpec &step : spec.steps) {
         StepRun run;
         run.tasks.resize(step.count);
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -87,9 +87,8 @@
         return std::pair(-member.cpuMilli, std::string_view(member.name))
             < std::pair(-node.options.cpuMilli, std::string_view(node.options.name));
     };
-    const auto rank = std::ranges::count_if(node.membership.members, [&](const Member &member) {
-        return member.name != node.leadership.leader.node && isBefore(member);
-    });
+    const auto rank = std::ranges::count_if(node.membership.members,
+        [&](const Member &member) { return member.name != node.leadership.leader.node && isBefore(member); });
     const auto jitter = milliseconds(randomBelow(node.random, static_cast<std::uint64_t>(claimJitter.count())));
     return claimSpacing * rank + jitter;
 }
@@ -256,8 +255,7 @@
     }
     logLine(LogLevel::Info, logPart, "Claim written. token={} former={} former_token={}", reply.revision,
         leadership.leader.node, leadership.leader.token);
-    leadership.leader
-        = {.token = reply.revision, .node = node.options.name, .endpoint = node.options.endpoint};
+    leadership.leader = {.token = reply.revision, .node = node.options.name, .endpoint = node.options.endpoint};
     leadership.leaderConnected = false;
     leadership.leaderRefused = false;
     leadership.claimMissing = false;
@@ -466,8 +464,8 @@
         leadership.nextPoll = now.monotonic + (heard ? calmPollInterval : pollInterval);
         readControl(node, StorePurpose::ControlPoll, heard);
     }
-    const bool abandoned = leadership.claimMissing
-        && (!heard || now.monotonic - leadership.claimMissingSince > reclaimTime);
+    const bool abandoned
+        = leadership.claimMissing && (!heard || now.monotonic - leadership.claimMissingSince > reclaimTime);
     if ((abandoned || leadership.leaderRefused) && !node.shuttingDown && node.hasConfiguration) {
         scheduleClaim(node, now.monotonic);
     } else {
@@ -509,8 +507,7 @@
     }
     leadership.leader = leader;
     // The connection may be open already: the leader was asked as a seed, or has asked this daemon.
-    leadership.leaderConnected
-        = std::ranges::find(node.connectedNodes, leader.node) != node.connectedNodes.end();
+    leadership.leaderConnected = std::ranges::find(node.connectedNodes, leader.node) != node.connectedNodes.end();
     leadership.leaderHeardAt = leadership.leaderConnected ? now.monotonic : leadership.leaderHeardAt;
     leadership.leaderRefused = false;
     leadership.claimMissing = false;
--- a/core/dispatch/messages.h
+++ b/core/dispatch/messages.h
@@ -168,7 +168,17 @@
     milliseconds timeout{0};
 };
 
-enum class StartRefusal : std::uint8_t { None, Fenced, OldAttempt, Late, NoRoom, Ticket, Unwell, WrongIncarnation, Invalid };
+enum class StartRefusal : std::uint8_t {
+    None,
+    Fenced,
+    OldAttempt,
+    Late,
+    NoRoom,
+    Ticket,
+    Unwell,
+    WrongIncarnation,
+    Invalid
+};
 
 struct OrderReply
 {
--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -103,13 +103,12 @@
         if (late && entry.everSent) {
             expired.push_back({.call = call, .outcome = ClientOutcome::Unknown});
         } else if (late || leaderless) {
-            expired.push_back(
-                {.call = call, .outcome = ClientOutcome::Refused, .retryAfter = noLeaderRetryAfter});
+            expired.push_back({.call = call, .outcome = ClientOutcome::Refused, .retryAfter = noLeaderRetryAfter});
         }
     }
     for (const ClientAnswer &answer : expired) {
-        logLine(LogLevel::Info, logPart, "Call ends without the leader. call={} outcome={} leader={} job={}", answer.call,
-            answer.outcome == ClientOutcome::Refused ? "refused" : "unknown", node.leadership.leader.node,
+        logLine(LogLevel::Info, logPart, "Call ends without the leader. call={} outcome={} leader={} job={}",
+            answer.call, answer.outcome == ClientOutcome::Refused ? "refused" : "unknown", node.leadership.leader.node,
             formatJobId(node.entries.at(answer.call).call.job));
         finishEntry(node, answer.call, answer);
     }
@@ -194,8 +193,8 @@
     }
     node.membership.members.clear();
     for (const StoreItem &item : reply.items) {
-        node.membership.members.push_back({.name = item.key.substr(memberPrefix.size()),
-            .cpuMilli = std::strtoll(item.value.c_str(), nullptr, 10)});
+        node.membership.members.push_back(
+            {.name = item.key.substr(memberPrefix.size()), .cpuMilli = std::strtoll(item.value.c_str(), nullptr, 10)});
     }
 }
 
@@ -502,8 +501,7 @@
         stepDown(node, "shutdown", now);
     }
     if (node.membership.lease != 0) {
-        node.outbox.add(
-            StoreEndLease{.call = memberCall(node, StorePurpose::Ignored), .lease = node.membership.lease});
+        node.outbox.add(StoreEndLease{.call = memberCall(node, StorePurpose::Ignored), .lease = node.membership.lease});
     }
     tickReadiness(node, now);
     sendPresence(node, now);
--- a/core/dispatch/outbox.h
+++ b/core/dispatch/outbox.h
@@ -25,7 +25,8 @@
 
 /// What the decisions ask the plug-ins to do.
 using Action = std::variant<StoreRange, StoreTransaction, StoreOpenLease, StoreKeepLease, StoreEndLease,
-    ReadConfiguration, WatchConfiguration, ReadWorkers, StartRun, StopRun, RenewWorker, AskAdvice, AnswerClient, LeaderAnswer, SendToNode, DialNode, ReadinessChanged, LimitsChanged>;
+    ReadConfiguration, WatchConfiguration, ReadWorkers, StartRun, StopRun, RenewWorker, AskAdvice, AnswerClient,
+    LeaderAnswer, SendToNode, DialNode, ReadinessChanged, LimitsChanged>;
 
 /// Collects actions in the order in which they were decided, and numbers calls.
 struct Outbox
--- a/core/dispatch/placement.cpp
+++ b/core/dispatch/placement.cpp
@@ -260,8 +260,8 @@
         ready.step->gangStartedAt = now;
     }
     for (const PlannedPlace &planned : plan) {
-        startTask(dispatcher, placeOf(ready, planned.task),
-            {.step = ready.key, .index = planned.task}, planned.worker, now);
+        startTask(
+            dispatcher, placeOf(ready, planned.task), {.step = ready.key, .index = planned.task}, planned.worker, now);
     }
 }
 
@@ -338,8 +338,8 @@
             dropPlan(dispatcher, *ready.spec, *ready.step);
         } else {
             const bool tickets = planHasTickets(dispatcher, ready, now);
-            const bool free = std::ranges::all_of(ready.step->plan,
-                [&](const PlannedPlace &planned) { return planIsFree(dispatcher, ready, planned); });
+            const bool free = std::ranges::all_of(
+                ready.step->plan, [&](const PlannedPlace &planned) { return planIsFree(dispatcher, ready, planned); });
             if (tickets && free) {
                 startPlan(dispatcher, ready, now);
             }
@@ -371,8 +371,8 @@
 };
 
 /// Best allowed worker with room: with a ticket, on the data's rack, not where it failed, and with least left over.
-SinglePlace chooseSingle(Dispatcher &dispatcher, const ReadyStep &ready, const Task &task, std::span<const Resources> room,
-    MonotonicTime now)
+SinglePlace chooseSingle(Dispatcher &dispatcher, const ReadyStep &ready, const Task &task,
+    std::span<const Resources> room, MonotonicTime now)
 {
     SinglePlace best;
     auto bestRank = std::tuple(true, true, true, std::int64_t{0});
@@ -424,8 +424,8 @@
             continue;
         }
         worker.reserved -= size;
-        startTask(dispatcher, placeOf(ready, planned.task),
-            {.step = ready.key, .index = planned.task}, planned.worker, now);
+        startTask(
+            dispatcher, placeOf(ready, planned.task), {.step = ready.key, .index = planned.task}, planned.worker, now);
     }
     ready.step->plan = std::move(left);
 }
@@ -440,8 +440,7 @@
 {
     const std::vector<Resources> room = roomAfterPreemption(dispatcher, ready, now);
     const SinglePlace found = chooseSingle(dispatcher, ready, ready.step->tasks[index], room, now);
-    return found.slot != noWorker
-        && preemptFor(dispatcher, ready, {{.task = index, .worker = found.slot}}, now);
+    return found.slot != noWorker && preemptFor(dispatcher, ready, {{.task = index, .worker = found.slot}}, now);
 }
 
 void placeSingles(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
@@ -554,8 +553,7 @@
             = std::min(perWorkerLimit(ready, slot), static_cast<std::uint32_t>(ready.step->tasks.size()));
         const std::uint32_t count = countFitting(size, room[slot], limit);
         if (count > 0) {
-            spaces.push_back(
-                {.slot = slot, .count = count, .leftOver = room[slot].cpuMilli - size.cpuMilli * count});
+            spaces.push_back({.slot = slot, .count = count, .leftOver = room[slot].cpuMilli - size.cpuMilli * count});
         }
     }
     std::ranges::sort(spaces, {}, [](const GangSpace &space) { return std::pair(space.leftOver, space.slot); });
@@ -604,7 +602,8 @@
     for (const auto &[key, run] : worker.runs) {
         if (isVictim(dispatcher, ready, key, run, now)) {
             const TaskPlace place = findTask(dispatcher, key);
-            candidates.emplace_back(!place.spec->checkpointed, MonotonicTime{} - (place.task->startedAt - MonotonicTime{}), key, run.size);
+            candidates.emplace_back(
+                !place.spec->checkpointed, MonotonicTime{} - (place.task->startedAt - MonotonicTime{}), key, run.size);
         }
     }
     // Those that were started last have done the least.
@@ -646,8 +645,7 @@
         const WorkerSlot slot = open->question.workers[i];
         const bool isNew = !step->allowed.contains(slot) && !step->denied.contains(slot);
         news += isNew ? 1 : 0;
-        const auto row
-            = std::ranges::find(reply.allowed, dispatcher.workers.workers[slot].entry.id, &Ticket::worker);
+        const auto row = std::ranges::find(reply.allowed, dispatcher.workers.workers[slot].entry.id, &Ticket::worker);
         if (row == reply.allowed.end()) {
             step->denied.insert(slot);
             continue;
--- a/core/dispatch/records.cpp
+++ b/core/dispatch/records.cpp
@@ -27,9 +27,9 @@
 
 std::uint32_t flagsOf(const StepSpec &step)
 {
-    return (step.checkpointed ? flagCheckpointed : 0) | (step.gang ? flagGang : 0)
-        | (step.sameRack ? flagSameRack : 0) | (step.speculative ? flagSpeculative : 0)
-        | (step.longRunning ? flagLongRunning : 0) | (step.fillsIdle ? flagFillsIdle : 0);
+    return (step.checkpointed ? flagCheckpointed : 0) | (step.gang ? flagGang : 0) | (step.sameRack ? flagSameRack : 0)
+        | (step.speculative ? flagSpeculative : 0) | (step.longRunning ? flagLongRunning : 0)
+        | (step.fillsIdle ? flagFillsIdle : 0);
 }
 
 Json toJson(const StepSpec &step)
@@ -216,8 +216,8 @@
         {"at", record.submittedAt.time_since_epoch().count()}, {"payload", record.spec.payload},
         {"steps", std::move(steps)}};
     if (record.spec.repeatCount != 0) {
-        json["repeat"] = {record.spec.repeatCount, record.spec.firstDue.time_since_epoch().count(),
-            record.spec.interval.count()};
+        json["repeat"]
+            = {record.spec.repeatCount, record.spec.firstDue.time_since_epoch().count(), record.spec.interval.count()};
     }
     return dumpJson(json);
 }
--- a/core/dispatch/task_runs.cpp
+++ b/core/dispatch/task_runs.cpp
@@ -48,6 +48,7 @@
         .fencingToken = dispatcher.token,
         .leaseUntil = run.latestStart,
         .timeout = orderTimeout};
+    worker.startLease = std::max(worker.startLease, run.latestStart);
     worker.leaseAsked = std::max(worker.leaseAsked, run.latestStart);
     ++run.startTries;
     run.startCallOpen = true;
@@ -129,8 +130,7 @@
     Dispatcher &dispatcher, const TaskPlace &place, const TaskKey &key, std::uint32_t attempt, MonotonicTime now)
 {
     const std::uint32_t limit = queueOf(dispatcher, *place.job).maxAttempts;
-    std::vector<std::uint32_t> &failed
-        = place.spec->gang ? place.step->gangFailedAttempts : place.task->failedAttempts;
+    std::vector<std::uint32_t> &failed = place.spec->gang ? place.step->gangFailedAttempts : place.task->failedAttempts;
     if (std::ranges::find(failed, attempt) == failed.end()) {
         failed.push_back(attempt);
     }
@@ -153,10 +153,7 @@
     if (step == nullptr || key.index >= step->tasks.size()) {
         return {};
     }
-    return {.job = job,
-        .spec = &job->record.spec.steps[key.step.step],
-        .step = step,
-        .task = &step->tasks[key.index]};
+    return {.job = job, .spec = &job->record.spec.steps[key.step.step], .step = step, .task = &step->tasks[key.index]};
 }
 
 const QueueConfig &queueOf(const Dispatcher &dispatcher, const Job &job)
@@ -270,7 +267,8 @@
     }
 }
 
-void release(Dispatcher &dispatcher, const TaskPlace &place, const TaskKey &key, MonotonicTime notBefore, MonotonicTime now)
+void release(
+    Dispatcher &dispatcher, const TaskPlace &place, const TaskKey &key, MonotonicTime notBefore, MonotonicTime now)
 {
     setWaiting(place, notBefore);
     if (place.spec->gang) {
@@ -401,8 +399,8 @@
     dispatcher.counters.jobsFailed += state == JobState::Failed ? 1 : 0;
     dispatcher.counters.jobsCancelled += state == JobState::Cancelled ? 1 : 0;
     const auto age = std::chrono::floor<milliseconds>(now - job.submittedAt);
-    logLine(LogLevel::Info, logPart, "Job ended. job={} queue={} state={} age_ms={} late={}", formatJobId(job.record.id),
-        job.record.queue.name, encodeEnd(state), age.count(), job.dueBy < now);
+    logLine(LogLevel::Info, logPart, "Job ended. job={} queue={} state={} age_ms={} late={}",
+        formatJobId(job.record.id), job.record.queue.name, encodeEnd(state), age.count(), job.dueBy < now);
     queueJobCommits(dispatcher, job, now);
 }
 
--- a/core/dispatch/task_runs.h
+++ b/core/dispatch/task_runs.h
@@ -35,7 +35,8 @@
 void abortGang(Dispatcher &dispatcher, const TaskPlace &place, const StepKey &key, MonotonicTime now);
 
 /// A run of the task is over. `number` is the worker's number of the end, 0 if the worker did not list one.
-void concludeRun(Dispatcher &dispatcher, const TaskKey &key, const EndedTask &ended, WorkerSlot slot, MonotonicTime now);
+void concludeRun(
+    Dispatcher &dispatcher, const TaskKey &key, const EndedTask &ended, WorkerSlot slot, MonotonicTime now);
 
 /// The run surely does not exist: the start was refused or came to nothing.
 void dropRun(Dispatcher &dispatcher, WorkerSlot slot, const TaskKey &key, MonotonicTime notBefore, MonotonicTime now);
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -59,6 +59,8 @@
     worker.lastEnd = 0;
     worker.acknowledged = 0;
     worker.leaseAsked = {};
+    worker.leaseBefore = {};
+    worker.startLease = {};
     worker.renewalOpen = false;
     worker.renewalCall = 0;
     worker.renewalFailures = 0;
@@ -277,8 +279,7 @@
     const bool mustStore = job != nullptr && !job->endStored;
     worker.ends[ended.number] = !mustStore;
     if (mustStore) {
-        job->unstoredEnds.push_back(
-            {.worker = slot, .incarnation = worker.entry.incarnation, .number = ended.number});
+        job->unstoredEnds.push_back({.worker = slot, .incarnation = worker.entry.incarnation, .number = ended.number});
     }
 }
 
@@ -309,19 +310,22 @@
     Worker &worker = dispatcher.workers.workers[slot];
     const bool known = worker.greeted;
     RenewWorker call{.call = dispatcher.outbox->newCall(),
-        .worker = {.id = worker.entry.id,
-            .endpoint = worker.entry.endpoint,
-            .incarnation = worker.entry.incarnation},
+        .worker = {.id = worker.entry.id, .endpoint = worker.entry.endpoint, .incarnation = worker.entry.incarnation},
         .fencingToken = dispatcher.token,
         .acknowledged = acknowledgeable(worker),
         .leaseUntil = {},
         .wait = milliseconds(0),
         .timeout = firstContactTimeout};
-    if (known) {
+    worker.leaseBefore = worker.leaseAsked;
+    // A worker that did not answer is asked for its lists only: each further lease that it may have got would put off
+    // the time at which its runs are surely gone.
+    if (known && worker.renewalFailures > 0) {
+        call.timeout = renewalSlack;
+    } else if (known) {
         const milliseconds lease = std::min(workerLease, dispatcher.bounds.maxWorkerLease);
         call.leaseUntil = workerClockNow(worker, now) + lease;
         worker.leaseAsked = std::max(worker.leaseAsked, call.leaseUntil);
-        const bool waits = !worker.runs.empty() && worker.ends.empty() && worker.renewalFailures == 0;
+        const bool waits = !worker.runs.empty() && worker.ends.empty();
         call.wait = waits ? renewalWait : milliseconds(0);
         call.timeout = call.wait + renewalSlack;
     }
@@ -377,6 +381,9 @@
 {
     Worker &worker = dispatcher.workers.workers[slot];
     Run &run = worker.runs.at(key);
+    if (worker.renewalFailures > 0) {
+        return;
+    }
     if (run.phase == RunPhase::Stopping) {
         if (!run.stopCallOpen && now - run.orderedAt > stopRetryDelay + dispatcher.bounds.stopTime) {
             stopRun(dispatcher, slot, key, now);
@@ -491,6 +498,9 @@
         return;
     }
     if (reply.status != CallStatus::Ok) {
+        if (reply.status == CallStatus::Unreachable) {
+            worker.leaseAsked = std::max(worker.leaseBefore, worker.startLease);
+        }
         ++worker.renewalFailures;
         const auto delay = std::min(failedRenewalDelay * worker.renewalFailures, longestRenewalDelay);
         worker.nextRenewal = now + delay;
@@ -512,11 +522,16 @@
     if (worker.renewalFailures > 0 || !worker.greeted) {
         dispatcher.placementDue = true;
     }
+    const bool wasLost = worker.renewalFailures > 0;
     worker.renewalFailures = 0;
     worker.greeted = true;
     worker.inherited = false;
     takeLists(dispatcher, slot, reply, worker.renewalSentAt, now);
     planRenewal(worker, now);
+    if (wasLost) {
+        // That look asked for no lease.
+        worker.nextRenewal = now;
+    }
 }
 
 void superviseWorkers(Dispatcher &dispatcher, MonotonicTime now)
--- a/core/dispatch/worker_table.h
+++ b/core/dispatch/worker_table.h
@@ -86,8 +86,11 @@
     /// The worker's clock at `clockReadAt`; a worker's clock may be 2% slow.
     WorkerTime clock{};
     MonotonicTime clockReadAt{};
-    /// The longest lease that was asked for.
+    /// The longest lease that was asked for; the one before the look that is under way, in case that is never sent.
     WorkerTime leaseAsked{};
+    WorkerTime leaseBefore{};
+    /// The longest lease that came with a start.
+    WorkerTime startLease{};
     WorkerHealth health;
     /// Runs that this leader doesn't know take unknown room; no starts until they were stopped.
     MonotonicTime strangersUntil{};
--- a/drivers/cluster_protocol/cluster_codec.cpp
+++ b/drivers/cluster_protocol/cluster_codec.cpp
@@ -66,8 +66,7 @@
 {
     std::vector<flatbuffers::Offset<wire::Ticket>> rows;
     for (const Ticket &row : result.reply.allowed) {
-        rows.push_back(
-            wire::CreateTicket(builder, builder.CreateString(row.worker), builder.CreateString(row.ticket)));
+        rows.push_back(wire::CreateTicket(builder, builder.CreateString(row.worker), builder.CreateString(row.ticket)));
     }
     const auto offset = wire::CreateAdviceResult(builder, result.reply.call,
         static_cast<std::uint8_t>(result.reply.status), builder.CreateVector(rows), result.reply.validity.count());
--- a/main/ctl/transport.cpp
+++ b/main/ctl/transport.cpp
@@ -1,8 +1,8 @@
 #include "main/ctl/transport.h"
 
 #include "core/event_loop.h"
-#include "drivers/http/http_client.h"
 #include "drivers/clock/system_clock.h"
+#include "drivers/http/http_client.h"
 
 #include <cstdio>
 #include <optional>
--- a/main/wigeonkeeld.cpp
+++ b/main/wigeonkeeld.cpp
@@ -2,8 +2,8 @@
 #include "core/log.h"
 #include "core/registry.h"
 #include "core/settings.h"
-#include "main/daemon_setup.h"
 #include "drivers/clock/system_clock.h"
+#include "main/daemon_setup.h"
 
 #include <csignal>
 #include <cstdio>
--- a/modules/cluster_link/cluster_links.cpp
+++ b/modules/cluster_link/cluster_links.cpp
@@ -101,7 +101,12 @@
 
 FrameHandlers handlers(ClusterLinks &links, std::uint64_t id)
 {
-    return {.state = &links, .id = id, .connected = onConnected, .frame = onFrame, .refused = onRefused, .closed = onClosed};
+    return {.state = &links,
+        .id = id,
+        .connected = onConnected,
+        .frame = onFrame,
+        .refused = onRefused,
+        .closed = onClosed};
 }
 
 void dial(ClusterLinks &links, const Endpoint &endpoint)
--- a/standins/store/store_standin.cpp
+++ b/standins/store/store_standin.cpp
@@ -1,8 +1,8 @@
 #include "core/event_loop.h"
 #include "core/log.h"
+#include "drivers/clock/system_clock.h"
 #include "drivers/http/http_server.h"
 #include "drivers/store_protocol/store_json.h"
-#include "drivers/clock/system_clock.h"
 #include "standins/json_reply.h"
 #include "standins/store/store_model.h"
 
--- a/standins/vm_list/vm_list_standin.cpp
+++ b/standins/vm_list/vm_list_standin.cpp
@@ -1,8 +1,8 @@
 #include "core/event_loop.h"
 #include "core/log.h"
+#include "drivers/clock/system_clock.h"
 #include "drivers/http/http_server.h"
 #include "drivers/vm_list_protocol/vm_list_json.h"
-#include "drivers/clock/system_clock.h"
 #include "standins/json_reply.h"
 #include "standins/vm_list/vm_list_model.h"
 
--- a/standins/worker/worker_standin.cpp
+++ b/standins/worker/worker_standin.cpp
@@ -1,9 +1,9 @@
 #include "core/event_loop.h"
 #include "core/json_text.h"
 #include "core/log.h"
+#include "drivers/clock/system_clock.h"
 #include "drivers/http/http_server.h"
 #include "drivers/worker_protocol/renew_call.h"
-#include "drivers/clock/system_clock.h"
 #include "standins/json_reply.h"
 #include "standins/worker/worker_model.h"
 
--- a/tests/contract/renew_call_test.cpp
+++ b/tests/contract/renew_call_test.cpp
@@ -1,6 +1,6 @@
+#include "drivers/clock/system_clock.h"
 #include "drivers/worker_protocol/renew_call.h"
 #include "modules/worker_http/worker_link.h"
-#include "drivers/clock/system_clock.h"
 #include "tests/contract/standin_process.h"
 
 #include <optional>
--- a/tests/contract/store_contract_test.cpp
+++ b/tests/contract/store_contract_test.cpp
@@ -1,5 +1,5 @@
-#include "modules/store_http/store_client.h"
 #include "drivers/clock/system_clock.h"
+#include "modules/store_http/store_client.h"
 #include "standins/store/store_model.h"
 #include "tests/contract/standin_process.h"
 
--- a/tests/contract/vm_list_contract_test.cpp
+++ b/tests/contract/vm_list_contract_test.cpp
@@ -1,5 +1,5 @@
-#include "modules/vm_list_http/vm_list_reader.h"
 #include "drivers/clock/system_clock.h"
+#include "modules/vm_list_http/vm_list_reader.h"
 #include "standins/vm_list/vm_list_model.h"
 #include "tests/contract/standin_process.h"
 
--- a/tests/contract/worker_contract_test.cpp
+++ b/tests/contract/worker_contract_test.cpp
@@ -1,5 +1,5 @@
-#include "modules/worker_http/worker_link.h"
 #include "drivers/clock/system_clock.h"
+#include "modules/worker_http/worker_link.h"
 #include "standins/worker/worker_model.h"
 #include "tests/contract/standin_process.h"
 
--- a/tests/peers/peer_links_test.cpp
+++ b/tests/peers/peer_links_test.cpp
@@ -1,6 +1,6 @@
+#include "drivers/clock/system_clock.h"
 #include "main/daemon_setup.h"
 #include "modules/peer_link/peer_links.h"
-#include "drivers/clock/system_clock.h"
 
 #include <functional>
 #include <optional>
