--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -31,6 +31,8 @@
 /// Claims of several followers are spread by their rank, so that mostly one call is made.
 constexpr milliseconds claimSpacing{60};
 constexpr milliseconds claimJitter{30};
+/// VMs that start together do so within 0.3 s.
+constexpr milliseconds startSpread{350};
 /// A takeover that takes longer starts again.
 constexpr milliseconds takeoverTimeout{3000};
 constexpr milliseconds claimRetry{200};
@@ -466,7 +468,9 @@
     }
     const bool abandoned
         = leadership.claimMissing && (!heard || now.monotonic - leadership.claimMissingSince > reclaimTime);
-    if ((abandoned || leadership.leaderRefused) && !node.shuttingDown && node.hasConfiguration) {
+    // The ranks of the daemons are known once all that started together have written their entries.
+    const bool ranksKnown = node.membership.knownSince < now.monotonic - startSpread;
+    if ((abandoned || leadership.leaderRefused) && ranksKnown && !node.shuttingDown && node.hasConfiguration) {
         scheduleClaim(node, now.monotonic);
     } else {
         leadership.claimAt = MonotonicTime::max();
--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -24,6 +24,7 @@
 constexpr milliseconds memberKeepInterval{2000};
 constexpr milliseconds memberRetry{500};
 constexpr milliseconds memberListInterval{2000};
+constexpr milliseconds memberListRetry{150};
 /// The leader reads the worker directory at this interval; a draining worker must get no start after 2 s.
 constexpr milliseconds workerPollInterval{600};
 constexpr milliseconds workerPollRetry{150};
@@ -158,11 +159,12 @@
         }
     }
     if (now.monotonic >= membership.nextList) {
-        membership.nextList = now.monotonic + memberListInterval;
+        const bool first = membership.knownSince == MonotonicTime::max();
+        membership.nextList = now.monotonic + (first ? memberListRetry : memberListInterval);
         node.outbox.add(StoreRange{.call = memberCall(node, StorePurpose::MemberList),
             .prefix = std::string(memberPrefix),
             .after = {},
-            .mayBeStale = true});
+            .mayBeStale = !first});
     }
 }
 
@@ -171,6 +173,10 @@
     Membership &membership = node.membership;
     membership.callOpen = false;
     const bool ok = reply.status == CallStatus::Ok;
+    if (!ok) {
+        logLine(LogLevel::Info, logPart, "The daemon's entry could not be kept. purpose={} status={}",
+            static_cast<int>(purpose), static_cast<int>(reply.status));
+    }
     membership.nextStep = now.monotonic + (ok && purpose != StorePurpose::MemberKeep ? milliseconds(0) : memberRetry);
     if (ok && purpose == StorePurpose::MemberLease) {
         membership.lease = reply.lease;
@@ -186,7 +192,7 @@
     }
 }
 
-void takeMemberList(Node &node, const StoreReply &reply)
+void takeMemberList(Node &node, const StoreReply &reply, Now now)
 {
     if (reply.status != CallStatus::Ok) {
         return;
@@ -196,6 +202,9 @@
         node.membership.members.push_back(
             {.name = item.key.substr(memberPrefix.size()), .cpuMilli = std::strtoll(item.value.c_str(), nullptr, 10)});
     }
+    if (node.membership.written) {
+        node.membership.knownSince = std::min(node.membership.knownSince, now.monotonic);
+    }
 }
 
 void tickWorkers(Node &node, Now now)
@@ -350,7 +359,7 @@
         return;
     }
     if (purpose == StorePurpose::MemberList) {
-        takeMemberList(node, reply);
+        takeMemberList(node, reply, now);
     } else if (purpose != StorePurpose::Ignored) {
         takeMemberReply(node, purpose, reply, now);
     }
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -107,6 +107,8 @@
     MonotonicTime nextList{};
     /// Daemons whose entries the store lists, this one included.
     std::vector<Member> members;
+    /// When the list was read first after this daemon's own entry was written.
+    MonotonicTime knownSince = MonotonicTime::max();
 };
 
 struct ConfigWatch
--- /dev/null
+++ b/tests/dispatch/dispatch_world.h
@@ -0,0 +1,174 @@
+#pragma once
+
+#include "core/dispatch/node.h"
+#include "core/routing/random.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace wigeonkeel::dispatch
+{
+
+/// What a worker of the world does with a run.
+struct WorldRun
+{
+    TaskKey task;
+    std::uint32_t attempt = 0;
+    Resources size;
+    std::string checkpoint;
+    milliseconds work{0};
+    milliseconds done{0};
+    bool willFail = false;
+};
+
+struct WorldEnd
+{
+    EndedTask ended;
+};
+
+/// A worker that runs what it is told, as the platform's contract describes: leases, fencing tokens, attempts, lists.
+struct WorldWorker
+{
+    WorkerEntry entry;
+    bool up = true;
+    /// Orders and looks get no answer.
+    bool silent = false;
+    /// The directory doesn't list it.
+    bool unlisted = false;
+    /// Fails all that it starts.
+    bool failsAll = false;
+    /// Runs make no progress.
+    bool standsStill = false;
+    std::uint64_t token = 0;
+    std::vector<WorldRun> runs;
+    std::vector<EndedTask> ends;
+    std::uint64_t lastNumber = 0;
+    milliseconds leaseUntil{0};
+    std::map<TaskKey, std::uint32_t> stoppedAttempts;
+    std::set<std::uint64_t> acknowledged;
+    /// Looks that wait for an end.
+    std::vector<std::pair<std::string, RenewWorker>> waitingLooks;
+};
+
+struct WorldItem
+{
+    std::string value;
+    std::uint64_t revision = 0;
+    std::uint64_t lease = 0;
+};
+
+/// The platform's store with its faults.
+struct WorldStore
+{
+    std::map<std::string, WorldItem> items;
+    std::map<std::uint64_t, std::pair<milliseconds, milliseconds>> leases;
+    std::uint64_t revision = 1;
+    bool down = false;
+    /// Share of transactions that are done and not answered, in percent.
+    std::uint64_t lostAnswers = 0;
+    std::size_t calls = 0;
+};
+
+/// One daemon of the world.
+struct WorldNode
+{
+    std::unique_ptr<Node> node;
+    bool up = true;
+    std::optional<Endpoint> dialled;
+    bool connected = false;
+    std::string connectedTo;
+};
+
+/// What tasks really take, by the step's estimate unless a test says otherwise.
+using TruthOf = std::function<WorldRun(const TaskKey &task, std::uint32_t attempt)>;
+
+/// Daemons, workers, adviser and store on one simulated clock; no network and no threads.
+struct World
+{
+    explicit World(std::size_t nodeCount, std::size_t workerCount, std::uint64_t seed = 1);
+
+    /// Runs for this long.
+    void run(milliseconds duration);
+    /// Runs until the condition holds; false after the limit.
+    bool runUntil(const std::function<bool()> &condition, milliseconds limit);
+
+    /// Hands a job in at a daemon and returns the call's id.
+    CallId submit(std::size_t at, JobId id, const JobSpec &spec, std::string_view queue);
+    CallId call(std::size_t at, ClientCallKind kind, JobId id, std::string_view queue);
+    std::optional<ClientAnswer> answerTo(CallId call) const;
+    /// State of a job as the daemon's clients see it; asks and runs until the answer.
+    std::optional<ClientAnswer> ask(std::size_t at, ClientCallKind kind, JobId id);
+
+    void kill(std::size_t node);
+    void restart(std::size_t node);
+    void crashWorker(std::size_t worker);
+    void restartWorker(std::size_t worker);
+
+    Node *leader();
+    std::size_t leaderIndex() const;
+
+    Now now() const;
+    /// Empty if all promises held: nothing twice, nothing over capacity, nothing before its time.
+    std::vector<std::string> violations;
+
+    milliseconds time{1000};
+    RandomState random;
+    Configuration configuration;
+    WorldStore store;
+    std::vector<WorldWorker> workers;
+    std::vector<WorldNode> nodes;
+    TruthOf truth;
+    /// Percent of workers that the adviser allows for a step.
+    std::uint64_t allowedPercent = 60;
+    std::map<CallId, ClientAnswer> answers;
+    std::map<TaskKey, std::uint32_t> failedRuns;
+    std::set<TaskKey> doneTasks;
+    std::size_t starts = 0;
+    std::size_t looks = 0;
+    /// Times from a job's submission until its end was stored.
+    std::map<JobId, milliseconds> submittedAt;
+
+private:
+    struct Event
+    {
+        milliseconds at;
+        std::uint64_t order;
+        std::function<void()> act;
+        bool operator<(const Event &other) const { return std::pair(other.at, other.order) < std::pair(at, order); }
+    };
+
+    void after(milliseconds delay, std::function<void()> act);
+    void carryOut(std::size_t node, const Action &action);
+    void flush(std::size_t node);
+    void advanceWorkers(milliseconds step);
+    void endRun(std::size_t worker, std::size_t run, RunEnd end);
+    void answerLooks(std::size_t worker);
+    void expireLeases();
+    void reply(std::size_t node, std::function<void(Node &, Now)> give);
+    StoreReply transact(const StoreTransaction &transaction);
+    StoreReply range(const StoreRange &range) const;
+    OrderReply start(const StartRun &order);
+    OrderReply stop(const StopRun &order);
+    std::optional<RenewReply> look(std::size_t worker, const RenewWorker &renewal);
+    RenewReply listsOf(std::size_t worker, CallId call) const;
+    AdviceReply advise(const AskAdvice &ask) const;
+    std::optional<std::size_t> nodeAt(const Endpoint &endpoint) const;
+    void connectNodes(std::size_t from, const Endpoint &endpoint);
+    void disconnect(std::size_t node);
+    std::size_t workerIndex(std::string_view id) const;
+
+    std::priority_queue<Event> m_events;
+    std::uint64_t m_order = 0;
+    milliseconds m_nextTick{0};
+};
+
+/// A step with usual values.
+StepSpec stepOf(std::uint32_t count, std::int64_t cpuMilli, milliseconds estimate);
+
+} // namespace wigeonkeel::dispatch
