dispatch: tests on a simulated world of daemons, workers, store and adviser; what they found is mended

Cause: the tests found two faults. A store that was away was noticed only by the next write, so that clients waited for it. Change: sendCommits() looks at every stream; failed renewals of the claim count as failures of the store; acceptances that surely did not reach it are refused.

--- a/core/dispatch/commit_streams.cpp
+++ b/core/dispatch/commit_streams.cpp
@@ -31,6 +31,7 @@
         queue.waiting.pop_front();
     }
     ++stream.sequence;
+    stream.uncertain = false;
 }
 
 void send(CommitQueue &queue, CommitStream &stream, Outbox &outbox, MonotonicTime now)
@@ -123,7 +124,9 @@
             continue;
         }
         if (queue.waiting.empty() || (!first && now - queue.waiting.front().queuedAt < patience)) {
-            return;
+            // A later stream may have a transaction to try again.
+            first = false;
+            continue;
         }
         fill(queue, stream);
         send(queue, stream, outbox, now);
@@ -159,10 +162,29 @@
     case CallStatus::Refused:
     case CallStatus::Unreachable:
     case CallStatus::Unknown:
+        stream.uncertain = stream.uncertain || reply.status == CallStatus::Unknown;
         noteStoreFailure(queue.health, now);
         return retryLater(stream, now);
     }
     return CommitResult::Retry;
 }
 
+std::vector<CommitTag> takeUnsentAcceptances(CommitQueue &queue)
+{
+    std::vector<CommitTag> taken;
+    const auto isAcceptance = [&taken](const Commit &commit) {
+        if (commit.tag.kind == CommitKind::Accept) {
+            taken.push_back(commit.tag);
+        }
+        return commit.tag.kind == CommitKind::Accept;
+    };
+    std::erase_if(queue.waiting, isAcceptance);
+    for (CommitStream &stream : queue.streams) {
+        if (stream.call == 0 && !stream.uncertain) {
+            std::erase_if(stream.inFlight, isAcceptance);
+        }
+    }
+    return taken;
+}
+
 } // namespace wigeonkeel::dispatch
--- a/core/dispatch/commit_streams.h
+++ b/core/dispatch/commit_streams.h
@@ -45,6 +45,8 @@
     MonotonicTime sentAt{};
     MonotonicTime retryAt{};
     std::uint32_t failures = 0;
+    /// A try of the present transaction had no answer, so it may have taken effect.
+    bool uncertain = false;
 };
 
 inline constexpr std::size_t commitStreamCount = 3;
@@ -96,6 +98,9 @@
 CommitResult takeCommitReply(CommitQueue &queue, CommitStream &stream, const StoreReply &reply, MonotonicTime now,
     std::vector<CommitTag> &stored);
 
+/// Takes back the acceptances that surely have not reached the store; they may be refused.
+std::vector<CommitTag> takeUnsentAcceptances(CommitQueue &queue);
+
 void noteStoreAnswer(StoreHealth &health, milliseconds latency);
 void noteStoreFailure(StoreHealth &health, MonotonicTime now);
 
--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -256,20 +256,13 @@
     }
 }
 
-/// Submissions that were never sent to the store are refused while it is away, which is true: they will not run.
+/// Submissions that surely are not stored are refused while it is away, which is true: they will not run.
 void refuseUnsentJobs(Dispatcher &dispatcher, MonotonicTime now)
 {
     if (!storeIsAway(dispatcher, now, storePatience)) {
         return;
     }
-    std::vector<JobId> refused;
-    std::erase_if(dispatcher.commits.waiting, [&refused](const Commit &commit) {
-        if (commit.tag.kind == CommitKind::Accept) {
-            refused.push_back(commit.tag.job);
-        }
-        return commit.tag.kind == CommitKind::Accept;
-    });
-    for (const JobId id : refused) {
+    for (const auto &[kind, id] : takeUnsentAcceptances(dispatcher.commits)) {
         const Job *job = findJob(dispatcher.jobs, id);
         for (const CallId call : job->waitingSubmits) {
             refuse(dispatcher,
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -356,14 +356,22 @@
 {
     Leadership &leadership = node.leadership;
     leadership.keepOpen = false;
-    if (!isLeading(node) && leadership.phase < ClaimPhase::LoadingJobs) {
+    if (!node.dispatcher) {
         return;
     }
+    StoreHealth &health = node.dispatcher->commits.health;
     if (reply.status == CallStatus::Ok) {
+        // While a transaction is tried again, its own answer tells whether the store is back.
+        const bool retrying = std::ranges::any_of(
+            node.dispatcher->commits.streams, [](const CommitStream &stream) { return !stream.inFlight.empty(); });
+        health.failing = health.failing && retrying;
         leadership.keptAt = now.monotonic;
         leadership.nextKeep = now.monotonic + keepInterval;
         return;
     }
+    if (reply.status != CallStatus::NotFound) {
+        noteStoreFailure(health, now.monotonic);
+    }
     leadership.nextKeep = now.monotonic + keepRetry;
     if (reply.status == CallStatus::NotFound && !leadership.reclaiming) {
         // The lease ended while the store was away, or was revoked. Unless another daemon was faster, the claim is
--- a/core/dispatch/records.cpp
+++ b/core/dispatch/records.cpp
@@ -15,21 +15,23 @@
 
 using Json = nlohmann::json;
 
-/// Numbers of the record's flags; stored as one bit set.
-enum StepFlag : std::uint32_t {
-    flagCheckpointed = 1,
-    flagGang = 2,
-    flagSameRack = 4,
-    flagSpeculative = 8,
-    flagLongRunning = 16,
-    flagFillsIdle = 32
-};
+/// Bits of the record's flags.
+constexpr std::uint32_t flagCheckpointed = 1;
+constexpr std::uint32_t flagGang = 2;
+constexpr std::uint32_t flagSameRack = 4;
+constexpr std::uint32_t flagSpeculative = 8;
+constexpr std::uint32_t flagLongRunning = 16;
+constexpr std::uint32_t flagFillsIdle = 32;
 
 std::uint32_t flagsOf(const StepSpec &step)
 {
-    return (step.checkpointed ? flagCheckpointed : 0) | (step.gang ? flagGang : 0) | (step.sameRack ? flagSameRack : 0)
-        | (step.speculative ? flagSpeculative : 0) | (step.longRunning ? flagLongRunning : 0)
-        | (step.fillsIdle ? flagFillsIdle : 0);
+    std::uint32_t flags = step.checkpointed ? flagCheckpointed : 0;
+    flags |= step.gang ? flagGang : 0;
+    flags |= step.sameRack ? flagSameRack : 0;
+    flags |= step.speculative ? flagSpeculative : 0;
+    flags |= step.longRunning ? flagLongRunning : 0;
+    flags |= step.fillsIdle ? flagFillsIdle : 0;
+    return flags;
 }
 
 Json toJson(const StepSpec &step)
--- /dev/null
+++ b/tests/dispatch/dispatch_recovery_test.cpp
@@ -0,0 +1,268 @@
+#include "core/dispatch/records.h"
+#include "tests/dispatch/dispatch_world.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wigeonkeel;
+using namespace wigeonkeel::dispatch;
+
+namespace
+{
+
+constexpr milliseconds settleTime{3000};
+
+bool isDone(World &world, std::size_t at, JobId id)
+{
+    const auto answer = world.ask(at, ClientCallKind::Query, id);
+    return answer && answer->outcome == ClientOutcome::Ok && answer->state == JobState::Done;
+}
+
+JobSpec oneStep(std::uint32_t count, std::int64_t cpuMilli, milliseconds estimate)
+{
+    return {.payload = "p", .steps = {stepOf(count, cpuMilli, estimate)}};
+}
+
+bool isAccepted(const World &world, CallId call)
+{
+    const auto answer = world.answerTo(call);
+    return answer && answer->outcome == ClientOutcome::Ok;
+}
+
+std::size_t otherThan(std::size_t leader)
+{
+    return leader == 0 ? 1 : 0;
+}
+
+void checkPromises(const World &world)
+{
+    for (const std::string &violation : world.violations) {
+        FAIL(violation.c_str());
+    }
+}
+
+} // namespace
+
+TEST_GROUP(DispatchRecovery){};
+
+// Guards against a path that is broken from end to end: accept, store, start, end, show.
+TEST(DispatchRecovery, AJobRunsAndIsShownAsDone)
+{
+    World world(3, 4);
+    world.run(settleTime);
+    const CallId call = world.submit(1, 0xa, oneStep(6, 1000, milliseconds(300)), "batch");
+    world.run(milliseconds(100));
+    CHECK(isAccepted(world, call));
+    world.run(milliseconds(1500));
+    CHECK(isDone(world, 2, 0xa));
+    CHECK_EQUAL(6, world.starts);
+    checkPromises(world);
+}
+
+// Guards against a follower that is cut off for good because its connection was open before the claim.
+TEST(DispatchRecovery, EveryDaemonServesClientsAfterTheFirstClaim)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        World world(5, 2, seed);
+        world.run(settleTime);
+        for (std::size_t node = 0; node < world.nodes.size(); ++node) {
+            const CallId call = world.submit(node, 0x100 + node, oneStep(1, 100, milliseconds(50)), "urgent");
+            world.run(milliseconds(200));
+            CHECK(isAccepted(world, call));
+        }
+    }
+}
+
+// Guards against a second run of what a killed leader had started, and against a lost job.
+TEST(DispatchRecovery, AKilledLeadersRunsGoOnUnderTheNext)
+{
+    World world(3, 4);
+    world.run(settleTime);
+    const std::size_t first = world.leaderIndex();
+    const CallId call = world.submit(first, 0xb, oneStep(8, 1000, milliseconds(2500)), "batch");
+    world.run(milliseconds(500));
+    CHECK(isAccepted(world, call));
+    world.kill(first);
+    world.run(milliseconds(1000));
+    CHECK(world.leader() != nullptr);
+    world.run(milliseconds(3000));
+    CHECK(isDone(world, otherThan(first), 0xb));
+    CHECK_EQUAL(8, world.starts);
+    checkPromises(world);
+}
+
+// Guards against a new leader that settles without workers which the directory forgot while the store was away: they
+// hold finished runs, which would be run again.
+TEST(DispatchRecovery, WorkersMissingFromTheDirectoryAreHeardBeforeAnythingStartsAgain)
+{
+    World world(3, 4);
+    world.run(settleTime);
+    const std::size_t first = world.leaderIndex();
+    world.submit(first, 0xc, oneStep(8, 1000, milliseconds(1500)), "batch");
+    world.run(milliseconds(800));
+    for (WorldWorker &worker : world.workers) {
+        worker.unlisted = true;
+    }
+    world.kill(first);
+    world.run(milliseconds(2000));
+    for (WorldWorker &worker : world.workers) {
+        worker.unlisted = false;
+    }
+    world.run(milliseconds(4000));
+    CHECK(isDone(world, otherThan(first), 0xc));
+    CHECK_EQUAL(8, world.starts);
+    checkPromises(world);
+}
+
+// Guards against failures that a new leader counts twice, or not at all: the job must fail after exactly two runs.
+TEST(DispatchRecovery, FailedRunsCountOnceAcrossLeaders)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        World world(3, 4, seed);
+        world.truth
+            = [](const TaskKey &, std::uint32_t) { return WorldRun{.work = milliseconds(400), .willFail = true}; };
+        world.run(settleTime);
+        const std::size_t first = world.leaderIndex();
+        world.submit(first, 0xd, oneStep(1, 1000, milliseconds(400)), "batch");
+        world.run(milliseconds(300 + 40 * static_cast<int>(seed)));
+        world.kill(first);
+        world.run(milliseconds(9000));
+        const auto answer = world.ask(otherThan(first), ClientCallKind::Query, 0xd);
+        CHECK(answer && answer->state == JobState::Failed);
+        CHECK_EQUAL(2, world.starts);
+        checkPromises(world);
+    }
+}
+
+// Guards against runs of a worker that is gone which are never given up, because each failed look moved its lease.
+TEST(DispatchRecovery, RunsOfAWorkerThatIsGoneAreStartedElsewhere)
+{
+    World world(3, 3);
+    world.run(settleTime);
+    world.submit(0, 0xe, oneStep(9, 1000, milliseconds(1500)), "batch");
+    world.run(milliseconds(700));
+    world.crashWorker(0);
+    CHECK(world.runUntil([&] { return isDone(world, 1, 0xe); }, milliseconds(12000)));
+    checkPromises(world);
+}
+
+// Guards against a run that is started elsewhere while a silent worker still runs it.
+TEST(DispatchRecovery, ASilentWorkersRunsWaitForItsLease)
+{
+    World world(3, 3);
+    world.run(settleTime);
+    world.submit(0, 0xf, oneStep(9, 1000, milliseconds(9000)), "batch");
+    world.run(milliseconds(700));
+    world.workers[0].silent = true;
+    world.run(milliseconds(25000));
+    CHECK(isDone(world, 1, 0xf));
+    checkPromises(world);
+}
+
+// Guards against work lost or doubled when all daemons lose power at once and the store forgets leases.
+TEST(DispatchRecovery, AllDaemonsMayGoAtOnce)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        World world(4, 4, seed);
+        world.run(settleTime);
+        for (JobId id = 1; id <= 6; ++id) {
+            world.submit(id % 4, id, oneStep(3, 1000, milliseconds(700)), id % 2 == 0 ? "urgent" : "batch");
+        }
+        world.run(milliseconds(200 + 100 * static_cast<int>(seed)));
+        for (std::size_t node = 0; node < world.nodes.size(); ++node) {
+            world.kill(node);
+        }
+        world.run(milliseconds(1500));
+        for (std::size_t node = 0; node < world.nodes.size(); ++node) {
+            world.restart(node);
+        }
+        world.run(milliseconds(14000));
+        for (JobId id = 1; id <= 6; ++id) {
+            CHECK(isDone(world, 0, id));
+        }
+        checkPromises(world);
+    }
+}
+
+// Guards against an acceptance that is refused although the write took effect, and against writes that are applied
+// twice or in the wrong order when answers are lost.
+TEST(DispatchRecovery, LostAnswersOfTheStoreChangeNothing)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        World world(3, 4, seed);
+        world.run(settleTime);
+        world.store.lostAnswers = 40;
+        std::vector<CallId> calls;
+        for (JobId id = 1; id <= 10; ++id) {
+            calls.push_back(world.submit(id % 3, id, oneStep(2, 500, milliseconds(300)), "urgent"));
+            world.run(milliseconds(100));
+        }
+        world.run(milliseconds(3000));
+        world.store.lostAnswers = 0;
+        world.run(milliseconds(5000));
+        for (std::size_t i = 0; i < calls.size(); ++i) {
+            const auto answer = world.answerTo(calls[i]);
+            CHECK(answer.has_value());
+            if (answer->outcome == ClientOutcome::Ok) {
+                CHECK(isDone(world, 0, i + 1));
+            }
+        }
+        checkPromises(world);
+    }
+}
+
+// Guards against jobs that are held until their deadline, or run although they were refused, while the store is away.
+TEST(DispatchRecovery, AnAbsentStoreIsToldAtOnceAndTruthfully)
+{
+    World world(3, 4);
+    world.run(settleTime);
+    world.store.down = true;
+    world.run(milliseconds(2500));
+    const CallId call = world.submit(0, 0x21, oneStep(1, 500, milliseconds(200)), "urgent");
+    world.run(milliseconds(300));
+    const auto answer = world.answerTo(call);
+    CHECK(answer && answer->outcome == ClientOutcome::Refused);
+    CHECK(answer->retryAfter.count() > 0);
+    world.store.down = false;
+    world.run(milliseconds(3000));
+    CHECK_EQUAL(0, world.starts);
+    const auto asked = world.ask(1, ClientCallKind::Query, 0x21);
+    CHECK(asked && asked->outcome == ClientOutcome::NoSuchJob);
+}
+
+// Guards against a retry of a submission that becomes a second job, also after a change of leader and after the end.
+TEST(DispatchRecovery, ARetriedSubmissionStaysOneJob)
+{
+    World world(3, 4);
+    world.run(settleTime);
+    const std::size_t first = world.leaderIndex();
+    world.submit(0, 0x31, oneStep(2, 500, milliseconds(200)), "urgent");
+    world.submit(1, 0x31, oneStep(2, 500, milliseconds(200)), "urgent");
+    world.run(milliseconds(1500));
+    world.kill(first);
+    world.run(milliseconds(2500));
+    const CallId again = world.submit(otherThan(first), 0x31, oneStep(2, 500, milliseconds(200)), "urgent");
+    world.run(milliseconds(1500));
+    CHECK(isAccepted(world, again));
+    CHECK_EQUAL(2, world.starts);
+    checkPromises(world);
+}
+
+// Guards against a cancelled job that runs on, or comes back under another leader.
+TEST(DispatchRecovery, ACancelledJobStaysCancelled)
+{
+    World world(3, 4);
+    world.run(settleTime);
+    const std::size_t first = world.leaderIndex();
+    world.submit(0, 0x41, oneStep(4, 1000, milliseconds(5000)), "batch");
+    world.run(milliseconds(500));
+    const auto cancelled = world.ask(1, ClientCallKind::Cancel, 0x41);
+    CHECK(cancelled && cancelled->outcome == ClientOutcome::Ok);
+    world.kill(first);
+    world.run(milliseconds(3000));
+    for (const WorldWorker &worker : world.workers) {
+        CHECK(worker.runs.empty());
+    }
+    const auto answer = world.ask(otherThan(first), ClientCallKind::Query, 0x41);
+    CHECK(answer && answer->state == JobState::Cancelled);
+    CHECK_EQUAL(4, world.starts);
+}
--- /dev/null
+++ b/tests/dispatch/dispatch_world.cpp
@@ -0,0 +1,687 @@
+#include "tests/dispatch/dispatch_world.h"
+
+#include "core/dispatch/records.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace wigeonkeel::dispatch
+{
+
+namespace
+{
+
+constexpr milliseconds hop{2};
+constexpr milliseconds storeHop{4};
+constexpr milliseconds tickInterval{10};
+constexpr milliseconds workStep{10};
+constexpr milliseconds stopTime{200};
+
+Resources plusAll(std::span<const WorldRun> runs)
+{
+    Resources sum;
+    for (const WorldRun &run : runs) {
+        sum += run.size;
+    }
+    return sum;
+}
+
+} // namespace
+
+StepSpec stepOf(std::uint32_t count, std::int64_t cpuMilli, milliseconds estimate)
+{
+    return {.count = count, .size = {.cpuMilli = cpuMilli, .memoryMib = 100}, .estimate = estimate};
+}
+
+World::World(std::size_t nodeCount, std::size_t workerCount, std::uint64_t seed)
+    : random{.value = seed}
+{
+    configuration = {.version = 1,
+        .queues
+        = {{.name = "urgent", .host = "h", .pathPrefix = "/u/", .pool = "pool", .priority = 0, .maxAttempts = 2},
+            {.name = "batch", .host = "h", .pathPrefix = "/b/", .pool = "pool", .priority = 2, .maxAttempts = 2}},
+        .pools = {{.name = "pool"}}};
+    truth = [this](const TaskKey &task, std::uint32_t) {
+        const Node *leading = leader();
+        milliseconds work{300};
+        if (leading != nullptr && leading->dispatcher) {
+            const auto found = leading->dispatcher->jobs.live.find(task.step.job);
+            if (found != leading->dispatcher->jobs.live.end()) {
+                work = found->second->record.spec.steps[task.step.step].estimate;
+            }
+        }
+        return WorldRun{.work = work};
+    };
+    for (std::size_t i = 0; i < workerCount; ++i) {
+        WorldWorker worker;
+        worker.entry = {.id = fmt::format("w{}", i),
+            .endpoint = {.ip = "10.0.0.1", .port = static_cast<std::uint16_t>(i + 1)},
+            .pool = "pool",
+            .zone = "z",
+            .incarnation = 1,
+            .capacity = {.cpuMilli = 4000, .memoryMib = 8000},
+            .labels = {"a", fmt::format("r{}", i / 4)},
+            .rack = fmt::format("r{}", i / 4)};
+        workers.push_back(std::move(worker));
+    }
+    for (std::size_t i = 0; i < nodeCount; ++i) {
+        nodes.emplace_back();
+        nodes.back().up = false;
+        restart(i);
+    }
+}
+
+Now World::now() const
+{
+    return {.monotonic = MonotonicTime(time), .wall = WallTime(time)};
+}
+
+void World::after(milliseconds delay, std::function<void()> act)
+{
+    m_events.push({.at = time + delay, .order = m_order++, .act = std::move(act)});
+}
+
+void World::restart(std::size_t node)
+{
+    WorldNode &target = nodes[node];
+    target.up = true;
+    target.node = std::make_unique<Node>();
+    target.node->options = {.name = fmt::format("n{}", node),
+        .endpoint = {.ip = "10.1.0.1", .port = static_cast<std::uint16_t>(node + 1)},
+        .cpuMilli = 500,
+        .bounds = {}};
+    target.node->random.value = nextRandom(random);
+    target.node->outbox.nextCall = nextRandom(random) >> 8;
+    target.connected = false;
+    target.dialled.reset();
+}
+
+void World::kill(std::size_t node)
+{
+    disconnect(node);
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+        if (i != node && nodes[i].up && nodes[i].connected && nodes[i].connectedTo == nodes[node].node->options.name) {
+            nodes[i].connected = false;
+            nodeDisconnected(*nodes[i].node, nodes[node].node->options.name, now());
+            dialFailed(*nodes[i].node, *nodes[i].dialled, true, now());
+        }
+    }
+    nodes[node].up = false;
+    nodes[node].node.reset();
+}
+
+void World::disconnect(std::size_t node)
+{
+    WorldNode &from = nodes[node];
+    if (!from.connected) {
+        return;
+    }
+    from.connected = false;
+    const auto to = nodeAt(*from.dialled);
+    if (to && nodes[*to].up) {
+        nodeDisconnected(*nodes[*to].node, from.node->options.name, now());
+    }
+}
+
+void World::crashWorker(std::size_t worker)
+{
+    workers[worker].up = false;
+    workers[worker].runs.clear();
+    workers[worker].ends.clear();
+    workers[worker].waitingLooks.clear();
+}
+
+void World::restartWorker(std::size_t worker)
+{
+    WorldWorker &target = workers[worker];
+    const WorkerEntry entry = target.entry;
+    target = {};
+    target.entry = entry;
+    ++target.entry.incarnation;
+}
+
+std::optional<std::size_t> World::nodeAt(const Endpoint &endpoint) const
+{
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+        if (nodes[i].up && nodes[i].node->options.endpoint == endpoint) {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+std::size_t World::workerIndex(std::string_view id) const
+{
+    const auto found = std::ranges::find(workers, id, [](const WorldWorker &worker) { return worker.entry.id; });
+    return static_cast<std::size_t>(found - workers.begin());
+}
+
+Node *World::leader()
+{
+    const std::size_t index = leaderIndex();
+    return index == nodes.size() ? nullptr : nodes[index].node.get();
+}
+
+std::size_t World::leaderIndex() const
+{
+    std::size_t best = nodes.size();
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+        const bool leads = nodes[i].up && isLeading(*nodes[i].node);
+        if (leads
+            && (best == nodes.size()
+                || nodes[i].node->leadership.leader.token > nodes[best].node->leadership.leader.token)) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+void World::connectNodes(std::size_t from, const Endpoint &endpoint)
+{
+    disconnect(from);
+    nodes[from].dialled = endpoint;
+    if (endpoint.ip.empty()) {
+        return;
+    }
+    after(hop, [this, from, endpoint] {
+        if (!nodes[from].up || nodes[from].dialled != endpoint) {
+            return;
+        }
+        const auto to = nodeAt(endpoint);
+        if (!to) {
+            dialFailed(*nodes[from].node, endpoint, true, now());
+            return;
+        }
+        nodes[from].connected = true;
+        nodes[from].connectedTo = nodes[*to].node->options.name;
+        nodeConnected(*nodes[from].node, nodes[*to].node->options.name, now());
+        nodeConnected(*nodes[*to].node, nodes[from].node->options.name, now());
+    });
+}
+
+void World::reply(std::size_t node, std::function<void(Node &, Now)> give)
+{
+    if (!nodes[node].up) {
+        return;
+    }
+    const Node *asked = nodes[node].node.get();
+    after(hop, [this, node, asked, give = std::move(give)] {
+        if (nodes[node].up && nodes[node].node.get() == asked) {
+            give(*nodes[node].node, now());
+        }
+    });
+}
+
+StoreReply World::transact(const StoreTransaction &transaction)
+{
+    StoreReply result{.call = transaction.call, .status = CallStatus::Ok, .items = {}};
+    bool holds = true;
+    for (const StoreCondition &condition : transaction.conditions) {
+        const auto found = store.items.find(condition.key);
+        const std::uint64_t present = found == store.items.end() ? 0 : found->second.revision;
+        holds = holds && present == condition.revision;
+        result.items.push_back(
+            {.key = condition.key, .value = present == 0 ? std::string() : found->second.value, .revision = present});
+    }
+    if (!holds) {
+        result.status = CallStatus::Conflict;
+        return result;
+    }
+    result.items.clear();
+    const std::size_t entries = transaction.conditions.size() + transaction.writes.size() + transaction.deletes.size();
+    if (entries > maxTransactionEntries) {
+        violations.push_back("a transaction is too large");
+    }
+    result.revision = ++store.revision;
+    for (const StoreWrite &write : transaction.writes) {
+        if (write.lease != 0 && !store.leases.contains(write.lease)) {
+            result.status = CallStatus::NotFound;
+            return result;
+        }
+        store.items[write.key] = {.value = write.value, .revision = store.revision, .lease = write.lease};
+    }
+    for (const std::string &key : transaction.deletes) {
+        store.items.erase(key);
+    }
+    return result;
+}
+
+StoreReply World::range(const StoreRange &range) const
+{
+    StoreReply result{.call = range.call, .status = CallStatus::Ok, .items = {}, .revision = store.revision};
+    constexpr std::size_t pageItems = 50;
+    for (const auto &[key, item] : store.items) {
+        if (!key.starts_with(range.prefix) || key <= range.after) {
+            continue;
+        }
+        if (result.items.size() == pageItems) {
+            result.morePages = true;
+            break;
+        }
+        result.items.push_back({.key = key, .value = item.value, .revision = item.revision});
+    }
+    return result;
+}
+
+RenewReply World::listsOf(std::size_t worker, CallId call) const
+{
+    const WorldWorker &target = workers[worker];
+    RenewReply lists{.call = call,
+        .status = CallStatus::Ok,
+        .incarnation = target.entry.incarnation,
+        .clock = WorkerTime(time),
+        .running = {},
+        .ended = target.ends};
+    for (const WorldRun &run : target.runs) {
+        const auto percent = run.work.count() == 0 ? 0 : run.done.count() * 100 / run.work.count();
+        lists.running.push_back({.task = run.task,
+            .attempt = run.attempt,
+            .checkpoint = run.checkpoint,
+            .percent = static_cast<int>(std::min<std::int64_t>(99, percent))});
+    }
+    return lists;
+}
+
+std::optional<RenewReply> World::look(std::size_t worker, const RenewWorker &renewal)
+{
+    WorldWorker &target = workers[worker];
+    ++looks;
+    if (renewal.fencingToken < target.token) {
+        return RenewReply{.call = renewal.call, .status = CallStatus::Refused, .refusal = StartRefusal::Fenced};
+    }
+    if (renewal.worker.incarnation != 0 && renewal.worker.incarnation != target.entry.incarnation) {
+        return RenewReply{
+            .call = renewal.call, .status = CallStatus::Refused, .refusal = StartRefusal::WrongIncarnation};
+    }
+    target.token = renewal.fencingToken;
+    target.leaseUntil = std::max(target.leaseUntil, renewal.leaseUntil.time_since_epoch());
+    std::erase_if(target.ends, [&](const EndedTask &ended) { return ended.number <= renewal.acknowledged; });
+    if (renewal.wait.count() > 0 && target.ends.empty()) {
+        return std::nullopt;
+    }
+    return listsOf(worker, renewal.call);
+}
+
+OrderReply World::start(const StartRun &order)
+{
+    WorldWorker &target = workers[workerIndex(order.worker.id)];
+    const auto refuse = [&order](StartRefusal refusal) {
+        return OrderReply{.call = order.call, .status = CallStatus::Refused, .refusal = refusal};
+    };
+    if (order.worker.incarnation != target.entry.incarnation) {
+        return refuse(StartRefusal::WrongIncarnation);
+    }
+    if (order.fencingToken < target.token) {
+        return refuse(StartRefusal::Fenced);
+    }
+    target.token = order.fencingToken;
+    const auto same = std::ranges::find(target.runs, order.task, &WorldRun::task);
+    if (same != target.runs.end() && same->attempt == order.attempt) {
+        return {.call = order.call, .status = CallStatus::Ok};
+    }
+    const auto stopped = target.stoppedAttempts.find(order.task);
+    if (stopped != target.stoppedAttempts.end() && order.attempt <= stopped->second) {
+        return refuse(StartRefusal::OldAttempt);
+    }
+    if (order.leaseUntil.time_since_epoch() < time) {
+        return refuse(StartRefusal::Late);
+    }
+    WorldRun run = truth(order.task, order.attempt);
+    run.task = order.task;
+    run.attempt = order.attempt;
+    run.checkpoint = order.checkpoint;
+    const Node *leading = leader();
+    if (leading != nullptr) {
+        const auto job = leading->dispatcher->jobs.live.find(order.task.step.job);
+        if (job != leading->dispatcher->jobs.live.end()) {
+            run.size = chargedSize(job->second->record.spec.steps[order.task.step.step]);
+        }
+    }
+    for (const WorldWorker &other : workers) {
+        if (std::ranges::find(other.runs, order.task, &WorldRun::task) != other.runs.end()) {
+            violations.push_back(fmt::format("{} runs twice at {} ms", formatTaskKey(order.task), time.count()));
+        }
+    }
+    if (doneTasks.contains(order.task)) {
+        violations.push_back(
+            fmt::format("{} starts after it was done at {} ms", formatTaskKey(order.task), time.count()));
+    }
+    if (failedRuns[order.task] >= 2) {
+        violations.push_back(fmt::format("{} starts after two failed runs", formatTaskKey(order.task)));
+    }
+    target.leaseUntil = std::max(target.leaseUntil, order.leaseUntil.time_since_epoch());
+    target.runs.push_back(run);
+    ++starts;
+    if (!fits(plusAll(target.runs), target.entry.capacity)) {
+        violations.push_back(fmt::format("{} is over its capacity at {} ms", target.entry.id, time.count()));
+    }
+    return {.call = order.call, .status = CallStatus::Ok};
+}
+
+OrderReply World::stop(const StopRun &order)
+{
+    const std::size_t index = workerIndex(order.worker.id);
+    WorldWorker &target = workers[index];
+    if (order.fencingToken < target.token) {
+        return {.call = order.call, .status = CallStatus::Refused, .refusal = StartRefusal::Fenced};
+    }
+    target.token = order.fencingToken;
+    target.stoppedAttempts[order.task] = std::max(target.stoppedAttempts[order.task], order.attempt);
+    after(stopTime, [this, index, order] {
+        WorldWorker &worker = workers[index];
+        for (std::size_t i = 0; i < worker.runs.size(); ++i) {
+            if (worker.runs[i].task == order.task && worker.runs[i].attempt == order.attempt) {
+                endRun(index, i, RunEnd::Stopped);
+                return;
+            }
+        }
+    });
+    return {.call = order.call, .status = CallStatus::Ok};
+}
+
+AdviceReply World::advise(const AskAdvice &ask) const
+{
+    AdviceReply result{.call = ask.call, .status = CallStatus::Ok, .allowed = {}, .validity = milliseconds(2000)};
+    for (const std::string &worker : ask.workers) {
+        const std::uint64_t hash = std::hash<std::string>{}(formatStepKey(ask.step) + worker);
+        if (hash % 100 < allowedPercent) {
+            result.allowed.push_back({.worker = worker, .ticket = "t"});
+        }
+    }
+    return result;
+}
+
+void World::endRun(std::size_t worker, std::size_t run, RunEnd end)
+{
+    WorldWorker &target = workers[worker];
+    const WorldRun ended = target.runs[run];
+    target.runs.erase(target.runs.begin() + static_cast<std::ptrdiff_t>(run));
+    target.stoppedAttempts[ended.task] = std::max(target.stoppedAttempts[ended.task], ended.attempt);
+    target.ends.push_back({.number = ++target.lastNumber,
+        .task = ended.task,
+        .attempt = ended.attempt,
+        .end = end,
+        .checkpoint = ended.checkpoint});
+    if (end == RunEnd::Done) {
+        doneTasks.insert(ended.task);
+    }
+    failedRuns[ended.task] += end == RunEnd::Failed ? 1 : 0;
+    answerLooks(worker);
+}
+
+void World::answerLooks(std::size_t worker)
+{
+    for (const auto &[node, renewal] : std::exchange(workers[worker].waitingLooks, {})) {
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            if (nodes[i].up && nodes[i].node->options.name == node && !workers[worker].silent) {
+                reply(i,
+                    [lists = listsOf(worker, renewal.call)](Node &owner, Now at) { takeRenewReply(owner, lists, at); });
+            }
+        }
+    }
+}
+
+void World::carryOut(std::size_t node, const Action &action)
+{
+    const auto storeReply = [this, node](auto make) {
+        after(storeHop, [this, node, make, asked = nodes[node].node.get()] {
+            ++store.calls;
+            if (!nodes[node].up || nodes[node].node.get() != asked) {
+                return;
+            }
+            reply(node, make());
+        });
+    };
+    if (const auto *transaction = std::get_if<StoreTransaction>(&action)) {
+        // Carried out even if the daemon dies meanwhile.
+        after(storeHop, [this, node, transaction = *transaction] {
+            ++store.calls;
+            StoreReply result{.call = transaction.call, .status = CallStatus::Refused, .items = {}};
+            if (!store.down) {
+                result = transact(transaction);
+                if (randomBelow(random, 100) < store.lostAnswers) {
+                    result = {.call = transaction.call, .status = CallStatus::Unknown, .items = {}};
+                }
+            }
+            if (nodes[node].up) {
+                reply(node, [result](Node &owner, Now at) { takeStoreReply(owner, result, at); });
+            }
+        });
+    } else if (const auto *asked = std::get_if<StoreRange>(&action)) {
+        storeReply([this, asked = *asked] {
+            StoreReply result = range(asked);
+            result.status = store.down ? CallStatus::Refused : CallStatus::Ok;
+            return [result](Node &owner, Now at) { takeStoreReply(owner, result, at); };
+        });
+    } else if (const auto *open = std::get_if<StoreOpenLease>(&action)) {
+        storeReply([this, open = *open] {
+            const std::uint64_t lease = 1000 + ++m_order;
+            store.leases[lease] = {time + open.timeToLive, open.timeToLive};
+            const StoreReply result{.call = open.call,
+                .status = store.down ? CallStatus::Refused : CallStatus::Ok,
+                .items = {},
+                .lease = lease,
+                .timeToLive = open.timeToLive};
+            return [result](Node &owner, Now at) { takeStoreReply(owner, result, at); };
+        });
+    } else if (const auto *keep = std::get_if<StoreKeepLease>(&action)) {
+        storeReply([this, keep = *keep] {
+            const auto found = store.leases.find(keep.lease);
+            StoreReply result{.call = keep.call, .status = CallStatus::Refused, .items = {}};
+            if (!store.down) {
+                result.status = found == store.leases.end() ? CallStatus::NotFound : CallStatus::Ok;
+                if (found != store.leases.end()) {
+                    found->second.first = time + found->second.second;
+                }
+            }
+            return [result](Node &owner, Now at) { takeStoreReply(owner, result, at); };
+        });
+    } else if (const auto *end = std::get_if<StoreEndLease>(&action)) {
+        store.leases[end->lease].first = time;
+    } else if (const auto *read = std::get_if<ReadConfiguration>(&action)) {
+        reply(node,
+            [result = ConfigurationReply{.call = read->call,
+                 .status = CallStatus::Ok,
+                 .configuration = configuration,
+                 .revision = store.revision}](Node &owner, Now at) { takeConfiguration(owner, result, at); });
+    } else if (const auto *watch = std::get_if<WatchConfiguration>(&action)) {
+        const CallId id = watch->call;
+        after(watch->wait, [this, node, id] {
+            reply(node,
+                [result = ConfigurationReply{.call = id,
+                     .status = CallStatus::Ok,
+                     .configuration = {},
+                     .revision = store.revision}](Node &owner, Now at) { takeConfiguration(owner, result, at); });
+        });
+    } else if (const auto *directory = std::get_if<ReadWorkers>(&action)) {
+        storeReply([this, id = directory->call] {
+            WorkersReply result{.call = id, .status = store.down ? CallStatus::Refused : CallStatus::Ok, .workers = {}};
+            for (const WorldWorker &worker : workers) {
+                if (worker.up && !worker.unlisted) {
+                    result.workers.push_back(worker.entry);
+                }
+            }
+            return [result](Node &owner, Now at) { takeWorkers(owner, result, at); };
+        });
+    } else if (const auto *started = std::get_if<StartRun>(&action)) {
+        after(hop, [this, node, started = *started] {
+            const WorldWorker &target = workers[workerIndex(started.worker.id)];
+            OrderReply result{.call = started.call, .status = CallStatus::Unknown};
+            if (target.up && !target.silent) {
+                result = start(started);
+            }
+            reply(node, [result](Node &owner, Now at) { takeOrderReply(owner, result, at); });
+        });
+    } else if (const auto *stopped = std::get_if<StopRun>(&action)) {
+        after(hop, [this, node, stopped = *stopped] {
+            const WorldWorker &target = workers[workerIndex(stopped.worker.id)];
+            OrderReply result{.call = stopped.call, .status = CallStatus::Unknown};
+            if (target.up && !target.silent) {
+                result = stop(stopped);
+            }
+            reply(node, [result](Node &owner, Now at) { takeOrderReply(owner, result, at); });
+        });
+    } else if (const auto *renewal = std::get_if<RenewWorker>(&action)) {
+        after(hop, [this, node, renewal = *renewal] {
+            const std::size_t worker = workerIndex(renewal.worker.id);
+            if (!workers[worker].up || workers[worker].silent) {
+                after(renewal.timeout, [this, node, id = renewal.call] {
+                    reply(node, [id](Node &owner, Now at) {
+                        takeRenewReply(
+                            owner, {.call = id, .status = CallStatus::Unknown, .running = {}, .ended = {}}, at);
+                    });
+                });
+                return;
+            }
+            const auto lists = look(worker, renewal);
+            if (lists) {
+                reply(node, [lists = *lists](Node &owner, Now at) { takeRenewReply(owner, lists, at); });
+                return;
+            }
+            workers[worker].waitingLooks.emplace_back(nodes[node].up ? nodes[node].node->options.name : "", renewal);
+            after(renewal.wait, [this, worker] { answerLooks(worker); });
+            // A worker that went silent or crashed meanwhile does not answer; the daemon ignores this otherwise.
+            after(renewal.timeout, [this, node, id = renewal.call] {
+                if (nodes[node].up) {
+                    reply(node, [id](Node &owner, Now at) {
+                        takeRenewReply(
+                            owner, {.call = id, .status = CallStatus::Unknown, .running = {}, .ended = {}}, at);
+                    });
+                }
+            });
+        });
+    } else if (const auto *question = std::get_if<AskAdvice>(&action)) {
+        reply(node, [result = advise(*question)](Node &owner, Now at) { takeAdviceReply(owner, result, at); });
+    } else if (const auto *answered = std::get_if<AnswerClient>(&action)) {
+        answers[answered->answer.call] = answered->answer;
+    } else if (const auto *message = std::get_if<SendToNode>(&action)) {
+        const std::string from = nodes[node].node->options.name;
+        after(hop, [this, from, message = *message] {
+            for (WorldNode &target : nodes) {
+                if (target.up && target.node->options.name == message.node) {
+                    takePeerMessage(*target.node, from, message.body, now());
+                }
+            }
+        });
+    } else if (const auto *dialled = std::get_if<DialNode>(&action)) {
+        connectNodes(node, dialled->endpoint);
+    }
+}
+
+void World::flush(std::size_t node)
+{
+    if (!nodes[node].up) {
+        return;
+    }
+    tick(*nodes[node].node, now());
+    for (const Action &action : takeActions(*nodes[node].node)) {
+        carryOut(node, action);
+    }
+}
+
+void World::advanceWorkers(milliseconds step)
+{
+    for (std::size_t worker = 0; worker < workers.size(); ++worker) {
+        WorldWorker &target = workers[worker];
+        if (!target.runs.empty() && target.leaseUntil < time) {
+            while (!target.runs.empty()) {
+                endRun(worker, 0, RunEnd::LeaseLapsed);
+            }
+        }
+        for (std::size_t i = target.runs.size(); i-- > 0;) {
+            WorldRun &run = target.runs[i];
+            run.done += target.standsStill ? milliseconds(0) : step;
+            if (run.done >= run.work) {
+                endRun(worker, i, run.willFail || target.failsAll ? RunEnd::Failed : RunEnd::Done);
+            }
+        }
+    }
+}
+
+void World::expireLeases()
+{
+    for (auto lease = store.leases.begin(); lease != store.leases.end();) {
+        if (lease->second.first > time || store.down) {
+            ++lease;
+            continue;
+        }
+        std::erase_if(store.items, [&](const auto &item) { return item.second.lease == lease->first; });
+        lease = store.leases.erase(lease);
+    }
+}
+
+void World::run(milliseconds duration)
+{
+    const milliseconds until = time + duration;
+    while (time < until) {
+        time += milliseconds(1);
+        while (!m_events.empty() && m_events.top().at <= time) {
+            const Event event = m_events.top();
+            m_events.pop();
+            event.act();
+        }
+        if (time.count() % workStep.count() == 0) {
+            advanceWorkers(workStep);
+            expireLeases();
+        }
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            if (time.count() % tickInterval.count() == 0 || (nodes[i].up && !nodes[i].node->outbox.actions.empty())) {
+                flush(i);
+            }
+        }
+    }
+}
+
+bool World::runUntil(const std::function<bool()> &condition, milliseconds limit)
+{
+    const milliseconds until = time + limit;
+    while (!condition()) {
+        if (time >= until) {
+            return false;
+        }
+        run(milliseconds(10));
+    }
+    return true;
+}
+
+CallId World::submit(std::size_t at, JobId id, const JobSpec &spec, std::string_view queue)
+{
+    Node &node = *nodes[at].node;
+    const CallId call = node.outbox.newCall();
+    const JobRecord record{
+        .id = id, .queue = *findQueueByName(configuration, queue), .submittedAt = WallTime(time), .spec = spec};
+    submittedAt.try_emplace(id, time);
+    takeClient(node,
+        {.call = call,
+            .kind = ClientCallKind::Submit,
+            .queue = std::string(queue),
+            .job = id,
+            .record = encodeJobRecord(record)},
+        milliseconds(3000), now());
+    return call;
+}
+
+CallId World::call(std::size_t at, ClientCallKind kind, JobId id, std::string_view queue)
+{
+    Node &node = *nodes[at].node;
+    const CallId call = node.outbox.newCall();
+    takeClient(node, {.call = call, .kind = kind, .queue = std::string(queue), .job = id, .record = {}},
+        milliseconds(3000), now());
+    return call;
+}
+
+std::optional<ClientAnswer> World::answerTo(CallId call) const
+{
+    const auto found = answers.find(call);
+    return found == answers.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::optional<ClientAnswer> World::ask(std::size_t at, ClientCallKind kind, JobId id)
+{
+    const CallId asked = call(at, kind, id, "batch");
+    runUntil([&] { return answerTo(asked).has_value(); }, milliseconds(4000));
+    return answerTo(asked);
+}
+
+} // namespace wigeonkeel::dispatch
