placement: the tickets of a gang's places are renewed together

Change: tickets that would end before the answer are named too, and the plan holds until then; a gang names as many workers as it is likely to need. The new test of this load passes before the change as well; it guards the load, not this fault.

--- a/core/dispatch/placement.cpp
+++ b/core/dispatch/placement.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds ticketMargin{60};
 /// Planned places wait this long for stopped runs to end, on top of the time that a stop takes.
 constexpr milliseconds planSlack{400};
+/// Time for which a renewed ticket should be good after the answer, beyond what the adviser takes.
+constexpr milliseconds renewalMargin{250};
 /// A new question about the same step is not asked sooner.
 constexpr milliseconds adviceInterval{250};
 /// The adviser takes at most this many workers in one call.
@@ -28,6 +30,9 @@
 /// Allowed workers to look for, as a multiple of those that the waiting tasks need.
 constexpr double adviceSurplus = 1.5;
 constexpr std::size_t minAdviceWorkers = 4;
+/// The same for gangs, whose questions take long in any case and whose members need room at one time.
+constexpr double gangSurplus = 2.5;
+constexpr std::size_t minGangWorkers = 24;
 /// A run that can't resume is stopped for a more urgent one only in its first part.
 constexpr milliseconds cheapWork{1200};
 constexpr std::uint32_t noLimit = UINT32_MAX;
@@ -175,13 +180,29 @@
     return std::max(minAdviceWorkers, static_cast<std::size_t>(wanted) + 1);
 }
 
+/// Enough of the workers that a gang is likely to find its places among those that the adviser allows.
+void trimForGang(const Dispatcher &dispatcher, const ReadyStep &ready, std::vector<WorkerSlot> &workers)
+{
+    const double share = std::max(0.05, allowedShare(dispatcher.advisor, ready.queue->name));
+    const auto members = static_cast<std::uint32_t>(ready.step->tasks.size());
+    double likely = 0;
+    std::size_t count = 0;
+    while (count < workers.size() && (count < minGangWorkers || likely < gangSurplus * members)) {
+        const Worker &worker = dispatcher.workers.workers[workers[count++]];
+        likely += share * countFitting(chargedSize(*ready.spec), freeRoom(worker), members);
+    }
+    workers.resize(count);
+}
+
 void askAboutMore(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
 {
     std::vector<WorkerSlot> workers = unknownWorkers(dispatcher, ready, !ready.spec->gang, now);
     if (workers.empty()) {
         workers = unknownWorkers(dispatcher, ready, false, now);
     }
-    if (!ready.spec->gang) {
+    if (ready.spec->gang) {
+        trimForGang(dispatcher, ready, workers);
+    } else {
         workers.resize(std::min(workers.size(), workersToName(dispatcher, ready)));
     }
     ask(dispatcher, ready, std::move(workers), now);
@@ -221,23 +242,6 @@
     });
 }
 
-/// Renews the tickets of planned workers; true if all are good now.
-bool planHasTickets(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
-{
-    std::vector<WorkerSlot> expired;
-    for (const PlannedPlace &planned : ready.step->plan) {
-        if (!hasTicket(dispatcher, ready, planned.worker, now)
-            && std::ranges::find(expired, planned.worker) == expired.end()) {
-            expired.push_back(planned.worker);
-        }
-    }
-    if (expired.empty()) {
-        return true;
-    }
-    ask(dispatcher, ready, std::move(expired), now);
-    return false;
-}
-
 milliseconds adviceTime(const ReadyStep &ready, std::size_t workers)
 {
     if (!ready.queue->advice) {
@@ -247,6 +251,29 @@
     return std::chrono::ceil<milliseconds>(cost);
 }
 
+/// Renews the tickets of planned workers; true if all are good now. Pattern: gangs whose tickets end one after the
+/// other. Tickets that would end before the answer is here are renewed too, so that all of them are good at one time.
+bool planHasTickets(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
+{
+    std::vector<WorkerSlot> planned;
+    for (const PlannedPlace &place : ready.step->plan) {
+        if (std::ranges::find(planned, place.worker) == planned.end()) {
+            planned.push_back(place.worker);
+        }
+    }
+    const auto isGood = [&](WorkerSlot slot) { return hasTicket(dispatcher, ready, slot, now); };
+    if (std::ranges::all_of(planned, isGood)) {
+        return true;
+    }
+    const milliseconds wait = adviceTime(ready, planned.size()) + renewalMargin;
+    std::erase_if(planned, [&](WorkerSlot slot) { return hasTicket(dispatcher, ready, slot, now + wait); });
+    if (!ready.step->adviceOpen) {
+        ready.step->planUntil = std::max(ready.step->planUntil, now + wait + planSlack);
+    }
+    ask(dispatcher, ready, std::move(planned), now);
+    return false;
+}
+
 void startPlan(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
 {
     const std::vector<PlannedPlace> plan = ready.step->plan;
--- a/tests/dispatch/dispatch_placement_test.cpp
+++ b/tests/dispatch/dispatch_placement_test.cpp
@@ -185,3 +185,31 @@
     setAdviceLines(advisor, left);
     CHECK_EQUAL(1, advisor.waiting.size());
 }
+
+// Guards against gangs whose tickets end one after the other, so that they are never good at one time: the adviser
+// takes nearly half of a ticket's life, and the gang first waits for room.
+TEST(DispatchPlacement, AGangThatWaitedGetsAllItsTicketsAtOneTime)
+{
+    World world(2, 8);
+    world.configuration.queues.push_back({.name = "gangs",
+        .host = "h",
+        .pathPrefix = "/g/",
+        .pool = "pool",
+        .priority = 1,
+        .maxAttempts = 2,
+        .advice
+        = AdviceTimes{.base = milliseconds(575), .perWorker = milliseconds(6), .ticketValidity = milliseconds(1500)}});
+    world.allowedPercent = 100;
+    world.adviceTakesTime = true;
+    world.run(settleTime);
+    for (JobId id = 1; id <= 3; ++id) {
+        world.submit(0, id, gang(16, 1800, milliseconds(1700)), "gangs");
+    }
+    CHECK(world.runUntil(
+        [&] {
+            return stateOf(world, 1) == JobState::Done && stateOf(world, 2) == JobState::Done
+                && stateOf(world, 3) == JobState::Done;
+        },
+        milliseconds(14000)));
+    checkPromises(world);
+}
--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -17,6 +17,9 @@
 constexpr milliseconds tickInterval{10};
 constexpr milliseconds workStep{10};
 constexpr milliseconds stopTime{200};
+constexpr milliseconds adviceValidity{1500};
+/// A question's timeout is the expected time and this.
+constexpr milliseconds adviceSlack{500};
 
 Resources plusAll(std::span<const WorldRun> runs)
 {
@@ -324,6 +327,9 @@
     if (stopped != target.stoppedAttempts.end() && order.attempt <= stopped->second) {
         return refuse(StartRefusal::OldAttempt);
     }
+    if (adviceTakesTime && ticketEnds[order.ticket] < time) {
+        return refuse(StartRefusal::Ticket);
+    }
     if (order.leaseUntil.time_since_epoch() < time) {
         return refuse(StartRefusal::Late);
     }
@@ -380,13 +386,15 @@
     return {.call = order.call, .status = CallStatus::Ok};
 }
 
-AdviceReply World::advise(const AskAdvice &ask) const
+AdviceReply World::advise(const AskAdvice &ask)
 {
-    AdviceReply result{.call = ask.call, .status = CallStatus::Ok, .allowed = {}, .validity = milliseconds(2000)};
+    AdviceReply result{.call = ask.call, .status = CallStatus::Ok, .allowed = {}, .validity = adviceValidity};
     for (const std::string &worker : ask.workers) {
         const std::uint64_t hash = std::hash<std::string>{}(formatStepKey(ask.step) + worker);
         if (hash % 100 < allowedPercent) {
-            result.allowed.push_back({.worker = worker, .ticket = "t"});
+            const std::string ticket = fmt::format("{}/{}/{}", formatStepKey(ask.step), worker, time.count());
+            result.allowed.push_back({.worker = worker, .ticket = ticket});
+            ticketEnds[ticket] = time + adviceValidity;
         }
     }
     return result;
@@ -552,7 +560,10 @@
             });
         });
     } else if (const auto *question = std::get_if<AskAdvice>(&action)) {
-        reply(node, [result = advise(*question)](Node &owner, Now at) { takeAdviceReply(owner, result, at); });
+        const milliseconds takes = adviceTakesTime ? question->timeout - adviceSlack : milliseconds(0);
+        after(takes, [this, node, question = *question] {
+            reply(node, [result = advise(question)](Node &owner, Now at) { takeAdviceReply(owner, result, at); });
+        });
     } else if (const auto *answered = std::get_if<AnswerClient>(&action)) {
         answers[answered->answer.call] = answered->answer;
     } else if (const auto *message = std::get_if<SendToNode>(&action)) {
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -126,6 +126,9 @@
     TruthOf truth;
     /// Percent of workers that the adviser allows for a step.
     std::uint64_t allowedPercent = 60;
+    /// The adviser takes as long as the question's timeout allows for, and its tickets end; starts are checked for it.
+    bool adviceTakesTime = false;
+    std::map<std::string, milliseconds> ticketEnds;
     std::map<CallId, ClientAnswer> answers;
     std::map<TaskKey, std::uint32_t> failedRuns;
     std::set<TaskKey> doneTasks;
@@ -157,7 +160,7 @@
     OrderReply stop(const StopRun &order);
     std::optional<RenewReply> look(std::size_t worker, const RenewWorker &renewal);
     RenewReply listsOf(std::size_t worker, CallId call) const;
-    AdviceReply advise(const AskAdvice &ask) const;
+    AdviceReply advise(const AskAdvice &ask);
     std::optional<std::size_t> nodeAt(const Endpoint &endpoint) const;
     void connectNodes(std::size_t from, const Endpoint &endpoint);
     void disconnect(std::size_t node);
