workers: leases of 3.5 s in place of 4.5 s

Cause: what ran on a lost worker, and the jobs that a new leader inherits, wait for the end of the lease. Change: the lease is one bound of the dispatcher; the wait of a new leader is worked out from it.

--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -22,6 +22,9 @@
 {
     /// Longest lease that a worker grants.
     milliseconds maxWorkerLease{6000};
+    /// Lease that is asked for. It outlasts a change of leader (detection 2 s, claim and first contact under 1 s), and
+    /// what ran on a lost worker waits for its end.
+    milliseconds workerLease{3500};
     /// A worker needs at most this long for a stop.
     milliseconds stopTime{900};
     /// Members of a gang that wait longer for the others end.
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -36,10 +36,10 @@
 /// A takeover that takes longer starts again.
 constexpr milliseconds takeoverTimeout{3000};
 constexpr milliseconds claimRetry{200};
-/// Leases of workers that can't be reached end within the longest lease, by a clock that may be 2% slow; a former
-/// leader's last order may have been on its way.
+/// Leases of workers that can't be reached end within the lease that leaders ask for, by a clock that may be 2% slow;
+/// a former leader's last order may have been on its way.
 constexpr double clockSlack = 1.02;
-constexpr milliseconds inheritanceMargin{500};
+constexpr milliseconds inheritanceMargin{1000};
 /// A leader that can't be reached by most daemons that the store lists makes room for another.
 constexpr milliseconds isolationTime{1200};
 constexpr milliseconds leadingGrace{3000};
@@ -225,7 +225,7 @@
         dispatcher.commits.streams.at(stream).revision = token;
     }
     setConfiguration(dispatcher, node.configuration);
-    const auto lease = std::chrono::duration<double, std::milli>(node.options.bounds.maxWorkerLease) * clockSlack;
+    const auto lease = std::chrono::duration<double, std::milli>(node.options.bounds.workerLease) * clockSlack;
     dispatcher.inheritanceSettlesAt = now + std::chrono::ceil<milliseconds>(lease) + inheritanceMargin;
 }
 
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -12,8 +12,6 @@
 {
 
 constexpr std::string_view logPart = "worker";
-/// Lease that keeps a worker's runs alive while leadership changes: detection, claim and first contact take about 3 s.
-constexpr milliseconds workerLease{4500};
 /// How long a worker may hold its answer back while nothing ends. Each look is priced; progress is read by it too.
 constexpr milliseconds renewalWait{1200};
 /// Over the wait; covers the round trip over zones and one resent packet.
@@ -322,7 +320,7 @@
     if (known && worker.renewalFailures > 0) {
         call.timeout = renewalSlack;
     } else if (known) {
-        const milliseconds lease = std::min(workerLease, dispatcher.bounds.maxWorkerLease);
+        const milliseconds lease = std::min(dispatcher.bounds.workerLease, dispatcher.bounds.maxWorkerLease);
         call.leaseUntil = workerClockNow(worker, now) + lease;
         worker.leaseAsked = std::max(worker.leaseAsked, call.leaseUntil);
         const bool waits = !worker.runs.empty() && worker.ends.empty();
