--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -29,6 +29,12 @@
 constexpr milliseconds outageRetryAfter{1000};
 constexpr milliseconds overloadRetryAfter{2000};
 
+void observe(Dispatcher &dispatcher, DurationKind kind, MonotonicTime::duration duration)
+{
+    dispatcher.outbox->add(
+        ObserveDuration{.kind = kind, .duration = std::chrono::duration_cast<milliseconds>(duration)});
+}
+
 bool storeIsAway(const Dispatcher &dispatcher, MonotonicTime now, milliseconds patience)
 {
     const StoreHealth &health = dispatcher.commits.health;
@@ -124,6 +130,7 @@
         return;
     }
     Job &job = addJob(dispatcher, std::move(*record), now);
+    job.arrivedAt = now.monotonic;
     job.waitingSubmits.push_back(call.call);
     Commit commit{.tag = {.kind = CommitKind::Accept, .job = call.job},
         .writes = {{.key = jobKey(call.job), .value = call.record}},
@@ -205,6 +212,7 @@
 {
     job.accepted = true;
     ++dispatcher.counters.accepted;
+    observe(dispatcher, DurationKind::Acceptance, now - job.arrivedAt);
     logLine(LogLevel::Info, logPart, "Job accepted. job={} queue={} steps={} tasks={} due_in_ms={}",
         formatJobId(job.record.id), job.record.queue.name, job.record.spec.steps.size(),
         job.record.spec.steps.front().count, std::chrono::floor<milliseconds>(job.dueBy - now).count());
@@ -221,6 +229,7 @@
 void takeEndStored(Dispatcher &dispatcher, Job &job, MonotonicTime now)
 {
     job.endStored = true;
+    observe(dispatcher, DurationKind::Completion, now - job.submittedAt);
     markEndsStored(dispatcher, job.unstoredEnds, now);
     for (const CallId call : job.waitingCancels) {
         answer(dispatcher, {.call = call, .outcome = ClientOutcome::Ok});
--- a/core/dispatch/job_table.h
+++ b/core/dispatch/job_table.h
@@ -107,6 +107,8 @@
     /// Time after which the job is late.
     MonotonicTime dueBy{};
     MonotonicTime submittedAt{};
+    /// When it reached this leader.
+    MonotonicTime arrivedAt{};
     /// Clients that wait for the acceptance, or for the cancellation.
     std::vector<CallId> waitingSubmits;
     std::vector<CallId> waitingCancels;
--- a/core/dispatch/outbox.h
+++ b/core/dispatch/outbox.h
@@ -23,10 +23,29 @@
     ClientAnswer answer;
 };
 
+enum class DurationKind : std::uint8_t {
+    /// From a submission's arrival at the leader until it was stored.
+    Acceptance,
+    /// From a submission until the first start was confirmed.
+    FirstStart,
+    /// From a submission until the end was stored.
+    Completion,
+    /// From a question to the adviser until its answer, the wait for a line included.
+    Advice,
+};
+inline constexpr std::size_t durationKindCount = 4;
+
+/// A duration for the histograms.
+struct ObserveDuration
+{
+    DurationKind kind = DurationKind::Acceptance;
+    milliseconds duration{0};
+};
+
 /// What the decisions ask the plug-ins to do.
 using Action = std::variant<StoreRange, StoreTransaction, StoreOpenLease, StoreKeepLease, StoreEndLease,
     ReadConfiguration, WatchConfiguration, ReadWorkers, StartRun, StopRun, RenewWorker, AskAdvice, AnswerClient,
-    LeaderAnswer, SendToNode, DialNode, ReadinessChanged, LimitsChanged>;
+    LeaderAnswer, SendToNode, DialNode, ReadinessChanged, LimitsChanged, ObserveDuration>;
 
 /// Collects actions in the order in which they were decided, and numbers calls.
 struct Outbox
--- a/core/dispatch/placement.cpp
+++ b/core/dispatch/placement.cpp
@@ -687,6 +687,8 @@
     logLine(LogLevel::Info, logPart, "Advice. step={} asked={} allowed={} waited_ms={}",
         formatStepKey(open->question.step), open->question.workers.size(), reply.allowed.size(),
         std::chrono::floor<milliseconds>(now - open->question.askedAt).count());
+    dispatcher.outbox->add(ObserveDuration{.kind = DurationKind::Advice,
+        .duration = std::chrono::duration_cast<milliseconds>(now - open->question.askedAt)});
     dispatcher.placementDue = true;
 }
 
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -81,6 +81,16 @@
     worker.entry.incarnation = incarnation;
 }
 
+void noteStarted(Dispatcher &dispatcher, Job &job, MonotonicTime now)
+{
+    if (!job.started) {
+        dispatcher.outbox->add(ObserveDuration{.kind = DurationKind::FirstStart,
+            .duration = std::chrono::duration_cast<milliseconds>(now - job.submittedAt)});
+    }
+    job.started = true;
+    job.state = JobState::Running;
+}
+
 void takeStartReply(Dispatcher &dispatcher, const OpenOrder &order, const OrderReply &reply, MonotonicTime now)
 {
     Worker &worker = dispatcher.workers.workers[order.worker];
@@ -96,8 +106,7 @@
         run.phase = run.phase == RunPhase::Starting ? RunPhase::Running : run.phase;
         const TaskPlace place = findTask(dispatcher, order.task);
         if (place) {
-            place.job->started = true;
-            place.job->state = JobState::Running;
+            noteStarted(dispatcher, *place.job, now);
             place.task->progressAt = now;
         }
         return;
@@ -248,8 +257,7 @@
     if (run.phase == RunPhase::Starting) {
         run.phase = RunPhase::Running;
         if (place) {
-            place.job->started = true;
-            place.job->state = JobState::Running;
+            noteStarted(dispatcher, *place.job, now);
         }
     }
     if (!place || place.task->worker != slot || place.task->attempt != running.attempt) {
--- a/main/wigeonkeel_entry.cpp
+++ b/main/wigeonkeel_entry.cpp
@@ -3,6 +3,7 @@
 #include "core/running_plugins.h"
 #include "drivers/clock/system_clock.h"
 #include "modules/cluster_link/register_dispatch.h"
+#include "modules/cluster_metrics/register_dispatch.h"
 #include "platform/register_platform.h"
 
 #include <csignal>
@@ -17,6 +18,7 @@
 #include <absl/flags/usage.h>
 
 ABSL_FLAG(std::string, settings, "", "path of the platform's settings file; by default the platform tells it");
+ABSL_FLAG(std::uint16_t, metrics_port, 9464, "port of the metrics page on this VM's address; 0 for none");
 ABSL_FLAG(bool, check_settings, false, "check the settings, print what is wrong and exit");
 ABSL_FLAG(bool, version, false, "print the version and exit");
 
@@ -88,7 +90,7 @@
     DispatchKernel kernel{.loop = loop,
         .clock = systemClock(),
         .listenForPeers = settings.node.endpoint,
-        .metrics = {},
+        .metrics = {.ip = settings.node.endpoint.ip, .port = absl::GetFlag(FLAGS_metrics_port)},
         .metricsRegistry = metrics,
         .node = {},
         .action = {},
@@ -153,5 +155,6 @@
     DispatchRegistry registry;
     platform::registerPlatform(registry, *settings);
     registerClusterLink(registry);
+    registerClusterMetrics(registry);
     return run(*settings, registry);
 }
--- /dev/null
+++ b/tests/platform/cluster_codec_test.cpp
@@ -0,0 +1,48 @@
+#include "drivers/cluster_protocol/cluster_codec.h"
+#include "drivers/peer_protocol/peer_codec.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wigeonkeel;
+using namespace wigeonkeel::dispatch;
+
+namespace
+{
+
+std::optional<PeerBody> roundTrip(const PeerBody &body)
+{
+    const std::string frame = encodePeerBody(body);
+    return decodePeerBody(std::as_bytes(std::span(frame)).subspan(frameHeaderSize));
+}
+
+} // namespace
+
+TEST_GROUP(ClusterCodec){};
+
+TEST(ClusterCodec, MessagesComeBackAsTheyWere)
+{
+    const auto call = roundTrip(ForwardedCall{.call
+        = {.call = 7, .kind = ClientCallKind::Cancel, .queue = "q", .job = 0xabc, .record = std::string("\0x", 2)}});
+    CHECK(call.has_value());
+    const ClientCall &decoded = std::get<ForwardedCall>(*call).call;
+    CHECK(decoded.call == 7 && decoded.kind == ClientCallKind::Cancel && decoded.job == 0xabc);
+    CHECK(decoded.record == std::string("\0x", 2));
+    const auto presence = roundTrip(
+        Presence{.node = "a", .leader = {.token = 5, .node = "b", .endpoint = {.ip = "1.2.3.4", .port = 6}}});
+    CHECK(presence.has_value() && std::get<Presence>(*presence).leader.endpoint.port == 6);
+    const auto advice = roundTrip(
+        AdviceResult{.reply = {.call = 2, .status = CallStatus::Ok, .allowed = {{.worker = "w", .ticket = "t"}}}});
+    CHECK(advice.has_value() && std::get<AdviceResult>(*advice).reply.allowed.at(0).ticket == "t");
+}
+
+// Guards against a daemon that reads past the end of a cut or foreign frame.
+TEST(ClusterCodec, CutFramesAreRefused)
+{
+    const std::string frame = encodePeerBody(ForwardedCall{.call = {.call = 1, .queue = "queue", .record = "record"}});
+    const auto bytes = std::as_bytes(std::span(frame)).subspan(frameHeaderSize);
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        decodePeerBody(bytes.first(size));
+    }
+    CHECK_FALSE(decodePeerBody(bytes.first(bytes.size() / 2)).has_value());
+    CHECK_FALSE(decodePeerBody({}).has_value());
+}
