--- a/core/dispatch/configuration.h
+++ b/core/dispatch/configuration.h
@@ -2,6 +2,8 @@
 
 #include "core/clock.h"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -63,11 +65,17 @@
     std::vector<QueueConfig> queues;
     std::vector<PoolConfig> pools;
     ClientLimits limits;
+    /// Places in `queues`, by name and by host; see indexQueues(). Operators may have thousands of queues.
+    absl::flat_hash_map<std::string, std::size_t> byName;
+    absl::flat_hash_map<std::string, std::vector<std::size_t>> byHost;
 };
 
+/// Fills the indexes; to be called after `queues` has changed.
+void indexQueues(Configuration &configuration);
+
 /// The queue with the longest prefix of the path at this host; null if there is none.
 const QueueConfig *findQueue(const Configuration &configuration, std::string_view host, std::string_view path);
-const QueueConfig *findQueueByName(const Configuration &configuration, std::string_view name);
+const QueueConfig *findQueueByName(const Configuration &configuration, const std::string &name);
 const PoolConfig *findPool(const Configuration &configuration, std::string_view name);
 
 } // namespace wigeonkeel::dispatch
--- a/tests/dispatch/dispatch_placement_test.cpp
+++ b/tests/dispatch/dispatch_placement_test.cpp
@@ -199,6 +199,7 @@
         .maxAttempts = 2,
         .advice
         = AdviceTimes{.base = milliseconds(575), .perWorker = milliseconds(6), .ticketValidity = milliseconds(1500)}});
+    indexQueues(world.configuration);
     world.allowedPercent = 100;
     world.adviceTakesTime = true;
     world.run(settleTime);
