--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -203,7 +203,7 @@
         }
         acknowledgeable(worker);
         if (worker.ends.empty() && !worker.renewalOpen) {
-            worker.nextRenewal = std::min(worker.nextRenewal, now);
+            worker.nextRenewal = std::min(worker.nextRenewal, nextLookAfterEnds(worker, now));
         }
     }
 }
@@ -423,7 +423,7 @@
             takeClientCall(dispatcher, call, now);
         }
     }
-    if (dispatcher.placementDue) {
+    if (dispatcher.placementDue && now.monotonic >= dispatcher.nextPlacement) {
         placeTasks(dispatcher, now.monotonic);
     }
     renewWorkers(dispatcher, now.monotonic);
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -93,6 +93,7 @@
     bool workersCommitOpen = false;
     /// Something changed that may let a task start.
     bool placementDue = false;
+    MonotonicTime nextPlacement{};
     MonotonicTime nextSupervision{};
     /// Jobs whose record of progress or end is due.
     absl::flat_hash_set<JobId> unstoredJobs;
--- a/core/dispatch/placement.cpp
+++ b/core/dispatch/placement.cpp
@@ -35,13 +35,15 @@
 constexpr std::size_t minGangWorkers = 24;
 /// A run that can't resume is stopped for a more urgent one only in its first part.
 constexpr milliseconds cheapWork{1200};
+/// Orders without an answer yet. An answer takes about 8 ms over zones, so this allows for 8,000 orders a second.
+constexpr std::size_t maxOpenOrders = 64;
+/// Steps without room that one pass looks at; those after them are less urgent.
+constexpr std::size_t maxBlockedSteps = 60;
+/// Time between passes for each worker that a blocked step looked at; about five times what the look takes.
+constexpr std::chrono::microseconds timePerLook{2};
+constexpr milliseconds shortestSpacing{2};
 constexpr std::uint32_t noLimit = UINT32_MAX;
 
-Resources plus(const Resources &left, const Resources &right)
-{
-    return left + right;
-}
-
 bool hasLabel(const Worker &worker, std::string_view label)
 {
     return std::ranges::find(worker.entry.labels, label) != worker.entry.labels.end();
@@ -292,25 +294,14 @@
     }
 }
 
-/// Room of the allowed workers if less urgent runs were stopped.
-std::vector<Resources> roomAfterPreemption(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now);
-
-bool isVictim(Dispatcher &dispatcher, const ReadyStep &ready, const TaskKey &key, const Run &run, MonotonicTime now)
+/// Only the operator's order counts here: a late job must not take the place of one that is less urgent.
+bool isVictim(const ReadyStep &ready, const Run &run, MonotonicTime now)
 {
-    if (run.phase != RunPhase::Running) {
-        return false;
-    }
-    const TaskPlace place = findTask(dispatcher, key);
-    if (!place || place.spec->gang || place.spec->longRunning || place.task->phase != TaskPhase::Assigned) {
-        return false;
-    }
-    // Only the operator's order counts here: a late job must not lose its place to one that is less urgent.
-    if (queueOf(dispatcher, *place.job).priority <= ready.queue->priority || ready.rank >= lateRank) {
-        return false;
-    }
-    return place.spec->checkpointed || now - place.task->startedAt < cheapWork;
+    return run.phase == RunPhase::Running && run.preemptible && run.priority > ready.queue->priority
+        && ready.rank < lateRank && (run.checkpointed || now - run.startedAt < cheapWork);
 }
 
+/// Room of the allowed workers if less urgent runs were stopped.
 std::vector<Resources> roomAfterPreemption(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
 {
     std::vector<Resources> room = roomOfWorkers(dispatcher);
@@ -319,8 +310,8 @@
             continue;
         }
         for (const auto &[key, run] : dispatcher.workers.workers[slot].runs) {
-            if (isVictim(dispatcher, ready, key, run, now)) {
-                room[slot] = plus(room[slot], run.size);
+            if (isVictim(ready, run, now)) {
+                room[slot] += run.size;
             }
         }
     }
@@ -627,10 +618,9 @@
     Resources room = freeRoom(worker);
     std::vector<std::tuple<bool, MonotonicTime, TaskKey, Resources>> candidates;
     for (const auto &[key, run] : worker.runs) {
-        if (isVictim(dispatcher, ready, key, run, now)) {
-            const TaskPlace place = findTask(dispatcher, key);
+        if (isVictim(ready, run, now)) {
             candidates.emplace_back(
-                !place.spec->checkpointed, MonotonicTime{} - (place.task->startedAt - MonotonicTime{}), key, run.size);
+                !run.checkpointed, MonotonicTime{} - (run.startedAt - MonotonicTime{}), key, run.size);
         }
     }
     // Those that were started last have done the least.
@@ -698,7 +688,14 @@
     if (dispatcher.deposed) {
         return;
     }
+    // Pattern: a backlog after an outage. More starts at one time than the loop can settle would hold up everything
+    // else; the answers to those under way let the next ones go.
+    std::size_t blocked = 0;
     for (const ReadyStep &ready : readySteps(dispatcher, now)) {
+        if (dispatcher.orders.size() >= maxOpenOrders) {
+            break;
+        }
+        const std::uint32_t waiting = ready.step->waiting;
         if (needsTicket(ready) && ready.step->allowed.empty()) {
             askAboutMore(dispatcher, ready, now);
             continue;
@@ -708,7 +705,14 @@
         } else {
             placeSingles(dispatcher, ready, now);
         }
+        blocked += ready.step->waiting == waiting ? 1 : 0;
+        if (blocked >= maxBlockedSteps) {
+            break;
+        }
     }
+    // A step that finds no room costs a look at every worker. Spacing the passes keeps them within a fifth of a core.
+    const auto spacing = timePerLook * static_cast<int>(blocked * dispatcher.workers.workers.size());
+    dispatcher.nextPlacement = now + std::max(shortestSpacing, std::chrono::ceil<milliseconds>(spacing));
     askWaiting(dispatcher.advisor, dispatcher.workers, *dispatcher.outbox, now);
 }
 
--- a/core/dispatch/task_runs.cpp
+++ b/core/dispatch/task_runs.cpp
@@ -17,6 +17,7 @@
 constexpr milliseconds startWindow{2000};
 /// Covers the round trip over zones and one resent packet.
 constexpr milliseconds orderTimeout{400};
+constexpr milliseconds firstLookDelay{100};
 /// A task whose run was lost or undone is tried again after this.
 constexpr milliseconds retryDelay{50};
 /// Progress is stored in one record with what changes in this time.
@@ -162,6 +163,16 @@
     return queue == nullptr ? job.record.queue : *queue;
 }
 
+Run makeRun(const Dispatcher &dispatcher, const TaskPlace &place, MonotonicTime now)
+{
+    return {.size = chargedSize(*place.spec),
+        .orderedAt = now,
+        .priority = queueOf(dispatcher, *place.job).priority,
+        .preemptible = !place.spec->gang && !place.spec->longRunning,
+        .checkpointed = place.spec->checkpointed,
+        .startedAt = now};
+}
+
 void setWaiting(TaskPlace place, MonotonicTime notBefore)
 {
     if (place.task->phase == TaskPhase::Assigned) {
@@ -183,15 +194,13 @@
     task.startedAt = now;
     task.progressAt = now;
     --place.step->waiting;
-    chargeRun(worker, key,
-        {.attempt = task.attempt,
-            .size = chargedSize(*place.spec),
-            .phase = RunPhase::Starting,
-            .latestStart = workerClockNow(worker, now) + startWindow,
-            .orderedAt = now});
+    Run run = makeRun(dispatcher, place, now);
+    run.attempt = task.attempt;
+    run.latestStart = workerClockNow(worker, now) + startWindow;
+    chargeRun(worker, key, run);
     sendStart(dispatcher, slot, key, worker.runs[key], place);
-    // The worker is looked at soon, also if it was idle until now.
-    worker.nextRenewal = std::min(worker.nextRenewal, now);
+    // A worker that was idle until now is looked at soon; the start's own lease lasts longer.
+    worker.nextRenewal = std::min(worker.nextRenewal, now + firstLookDelay);
     logLine(LogLevel::Info, logPart, "Start ordered. task={} attempt={} worker={} checkpoint={} free_cpu={} queue={}",
         formatTaskKey(key), task.attempt, worker.entry.id, task.checkpoint.empty() ? "none" : task.checkpoint,
         freeRoom(worker).cpuMilli, place.job->record.queue.name);
--- a/core/dispatch/task_runs.h
+++ b/core/dispatch/task_runs.h
@@ -22,6 +22,9 @@
 /// The configured queue, or the queue at the submission if the operator has removed it.
 const QueueConfig &queueOf(const Dispatcher &dispatcher, const Job &job);
 
+/// The run of a task as it is charged to a worker; attempt and phase are the caller's.
+Run makeRun(const Dispatcher &dispatcher, const TaskPlace &place, MonotonicTime now);
+
 void setWaiting(TaskPlace place, MonotonicTime notBefore);
 
 /// Charges the worker and orders the start.
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -19,8 +19,11 @@
 constexpr milliseconds firstContactTimeout{400};
 constexpr milliseconds failedRenewalDelay{150};
 constexpr milliseconds longestRenewalDelay{1000};
-/// With ends listed that are not stored yet, the worker would answer at once; the next look waits for the store.
-constexpr milliseconds unstoredEndsDelay{80};
+/// With ends listed that are not stored yet, the worker would answer at once; the next look waits for the store, or
+/// this long.
+constexpr milliseconds unstoredEndsDelay{300};
+/// Ends have to be acknowledged within 4 s, also by a worker that nothing runs on.
+constexpr milliseconds lastAcknowledgementDelay{1500};
 constexpr std::uint32_t maxStartTries = 3;
 constexpr milliseconds refusedDelay{150};
 /// After a stop without effect.
@@ -56,6 +59,7 @@
     worker.ends.clear();
     worker.lastEnd = 0;
     worker.acknowledged = 0;
+    worker.acknowledgementSent = 0;
     worker.leaseAsked = {};
     worker.leaseBefore = {};
     worker.startLease = {};
@@ -229,12 +233,12 @@
     place.step->gangAttempt = std::max(place.step->gangAttempt, running.attempt);
     place.job->started = true;
     place.job->state = JobState::Running;
-    chargeRun(worker, running.task,
-        {.attempt = running.attempt,
-            .size = chargedSize(*place.spec),
-            .phase = RunPhase::Running,
-            .seenAt = now,
-            .confirmed = true});
+    Run run = makeRun(dispatcher, place, now);
+    run.attempt = running.attempt;
+    run.phase = RunPhase::Running;
+    run.seenAt = now;
+    run.confirmed = true;
+    chargeRun(worker, running.task, run);
     logLine(LogLevel::Info, logPart, "Run taken over. task={} attempt={} worker={}", formatTaskKey(running.task),
         running.attempt, worker.entry.id);
 }
@@ -335,6 +339,7 @@
         call.wait = waits ? renewalWait : milliseconds(0);
         call.timeout = call.wait + renewalSlack;
     }
+    worker.acknowledgementSent = call.acknowledged;
     worker.renewalOpen = true;
     worker.renewalCall = call.call;
     worker.renewalToken = dispatcher.token;
@@ -351,8 +356,8 @@
         worker.nextRenewal = now + unstoredEndsDelay;
     } else if (!worker.runs.empty()) {
         worker.nextRenewal = now;
-    } else if (worker.acknowledged < worker.lastEnd) {
-        worker.nextRenewal = now + unstoredEndsDelay;
+    } else if (worker.acknowledgementSent < worker.lastEnd) {
+        worker.nextRenewal = now + lastAcknowledgementDelay;
     } else {
         // Nothing runs and nothing is listed: the next start asks for a look.
         worker.nextRenewal = MonotonicTime::max();
@@ -474,6 +479,8 @@
     }
     const OpenOrder order = found->second;
     dispatcher.orders.erase(found);
+    // Placement may have stopped at the bound of open orders.
+    dispatcher.placementDue = true;
     if (dispatcher.workers.workers[order.worker].entry.incarnation != order.incarnation) {
         return;
     }
@@ -525,6 +532,7 @@
     }
     worker.clock = reply.clock;
     worker.clockReadAt = now;
+    worker.renewalAnsweredAt = now;
     if (worker.renewalFailures > 0 || !worker.greeted) {
         dispatcher.placementDue = true;
     }
--- a/core/dispatch/worker_table.cpp
+++ b/core/dispatch/worker_table.cpp
@@ -13,6 +13,10 @@
 /// Failed runs in short order after which a worker gets no starts for a while. One or two failures also come from jobs
 /// that fail everywhere.
 constexpr double avoidedSuspicion = 2.5;
+constexpr std::uint32_t urgentPriority = 0;
+/// Between an answered look and the next.
+constexpr milliseconds urgentLookGap{40};
+constexpr milliseconds patientLookGap{200};
 constexpr milliseconds firstAvoidance{3000};
 constexpr milliseconds longestAvoidance{12000};
 
@@ -53,6 +57,13 @@
     return worker.clockReadAt + std::chrono::ceil<milliseconds>(slackened);
 }
 
+MonotonicTime nextLookAfterEnds(const Worker &worker, MonotonicTime now)
+{
+    const bool urgent
+        = std::ranges::any_of(worker.runs, [](const auto &entry) { return entry.second.priority == urgentPriority; });
+    return std::max(now, worker.renewalAnsweredAt + (urgent ? urgentLookGap : patientLookGap));
+}
+
 void chargeRun(Worker &worker, const TaskKey &task, const Run &run)
 {
     worker.runs[task] = run;
--- a/core/dispatch/worker_table.h
+++ b/core/dispatch/worker_table.h
@@ -43,6 +43,12 @@
     /// A stop was answered, so that a start under way is refused for good.
     bool stopAnswered = false;
     MonotonicTime orderedAt{};
+    /// Of the task's queue. Kept here, because pre-emption weighs all runs of many workers.
+    std::uint32_t priority = 0;
+    /// May be stopped for a more urgent task; false for gangs and tasks that last.
+    bool preemptible = false;
+    bool checkpointed = false;
+    MonotonicTime startedAt{};
 };
 
 /// Signs that a worker fails what it starts.
@@ -77,10 +83,13 @@
     std::map<std::uint64_t, bool> ends;
     std::uint64_t lastEnd = 0;
     std::uint64_t acknowledged = 0;
+    /// With the last look.
+    std::uint64_t acknowledgementSent = 0;
     bool renewalOpen = false;
     CallId renewalCall = 0;
     std::uint64_t renewalToken = 0;
     MonotonicTime renewalSentAt{};
+    MonotonicTime renewalAnsweredAt{};
     MonotonicTime nextRenewal{};
     std::uint32_t renewalFailures = 0;
     /// The worker's clock at `clockReadAt`; a worker's clock may be 2% slow.
@@ -119,6 +128,10 @@
 /// Latest time at which the worker's lease has surely ended, by this daemon's clock.
 MonotonicTime leaseEndsBy(const Worker &worker);
 
+/// When to look next at a worker that has just shown ends: each look is priced and takes processor time, so that ends
+/// of patient work are collected, while those of urgent work are looked for at once.
+MonotonicTime nextLookAfterEnds(const Worker &worker, MonotonicTime now);
+
 void chargeRun(Worker &worker, const TaskKey &task, const Run &run);
 void releaseRun(Worker &worker, const TaskKey &task);
 
--- a/core/log.cpp
+++ b/core/log.cpp
@@ -29,6 +29,8 @@
     std::string text;
     std::uint64_t dropped = 0;
     bool deferred = false;
+    std::chrono::seconds formattedSecond{-1};
+    std::string formatted;
 };
 
 LogBuffer buffer;
@@ -88,8 +90,13 @@
         ++buffer.dropped;
         return;
     }
-    fmt::format_to(std::back_inserter(buffer.text), "{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}: {}\n",
-        fmt::gmtime(static_cast<std::time_t>(seconds.count())), remainder.count(), levelName(level), part, text);
+    // Calendar formatting takes longer than the rest of the line.
+    if (seconds != buffer.formattedSecond) {
+        buffer.formattedSecond = seconds;
+        buffer.formatted = fmt::format("{:%Y-%m-%dT%H:%M:%S}", fmt::gmtime(static_cast<std::time_t>(seconds.count())));
+    }
+    fmt::format_to(std::back_inserter(buffer.text), "{}.{:03}Z {} {}: {}\n", buffer.formatted, remainder.count(),
+        levelName(level), part, text);
     if (!buffer.deferred) {
         flushLog();
     }
