--- a/core/dispatch/placement.cpp
+++ b/core/dispatch/placement.cpp
@@ -41,7 +41,7 @@
 constexpr std::size_t maxBlockedSteps = 60;
 /// Time between passes for each worker that a blocked step looked at; about five times what the look takes.
 constexpr std::chrono::microseconds timePerLook{2};
-constexpr milliseconds shortestSpacing{2};
+constexpr milliseconds shortestSpacing{3};
 constexpr std::uint32_t noLimit = UINT32_MAX;
 
 bool hasLabel(const Worker &worker, std::string_view label)
@@ -130,9 +130,15 @@
     return there >= ready.spec->maxPerWorker ? 0 : ready.spec->maxPerWorker - there;
 }
 
+/// False while a question about the step is under way, or one was answered a moment ago.
+bool mayAsk(const ReadyStep &ready, MonotonicTime now)
+{
+    return !ready.step->adviceOpen && ready.step->adviceRetryAt <= now;
+}
+
 void ask(Dispatcher &dispatcher, const ReadyStep &ready, std::vector<WorkerSlot> workers, MonotonicTime now)
 {
-    if (workers.empty() || ready.step->adviceOpen || ready.step->adviceRetryAt > now) {
+    if (workers.empty() || !mayAsk(ready, now)) {
         return;
     }
     if (workers.size() > maxAdviceWorkers) {
@@ -196,18 +202,27 @@
     workers.resize(count);
 }
 
-void askAboutMore(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
+/// Names workers that the step was not asked about yet. False if there are none.
+bool askAboutMore(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
 {
+    // The list is not made in vain: hundreds of steps may wait for their answers.
+    if (!mayAsk(ready, now)) {
+        return true;
+    }
     std::vector<WorkerSlot> workers = unknownWorkers(dispatcher, ready, !ready.spec->gang, now);
-    if (workers.empty()) {
+    if (workers.empty() && ready.step->allowed.empty()) {
         workers = unknownWorkers(dispatcher, ready, false, now);
     }
+    if (workers.empty()) {
+        return false;
+    }
     if (ready.spec->gang) {
         trimForGang(dispatcher, ready, workers);
     } else {
         workers.resize(std::min(workers.size(), workersToName(dispatcher, ready)));
     }
     ask(dispatcher, ready, std::move(workers), now);
+    return true;
 }
 
 void reserve(Dispatcher &dispatcher, const ReadyStep &ready, std::vector<PlannedPlace> plan, MonotonicTime until)
@@ -372,8 +387,7 @@
         }
         return;
     }
-    if (needsTicket(ready) && !unknownWorkers(dispatcher, ready, false, now).empty()) {
-        askAboutMore(dispatcher, ready, now);
+    if (needsTicket(ready) && askAboutMore(dispatcher, ready, now)) {
         return;
     }
     plan = placeGang(dispatcher, ready, roomAfterPreemption(dispatcher, ready, now), now);
@@ -493,8 +507,7 @@
     if (!noRoom) {
         return;
     }
-    if (needsTicket(ready) && !unknownWorkers(dispatcher, ready, true, now).empty()) {
-        askAboutMore(dispatcher, ready, now);
+    if (needsTicket(ready) && askAboutMore(dispatcher, ready, now)) {
         return;
     }
     for (std::uint32_t index = 0; index < ready.step->tasks.size(); ++index) {
