--- a/core/dispatch/job_spec.h
+++ b/core/dispatch/job_spec.h
@@ -28,7 +28,8 @@
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
 
-    auto operator<=>(const StepKey &) const = default;
+    // clang-tidy 14 takes the compiler's comparison with 0 for a pointer.
+    auto operator<=>(const StepKey &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// A task of a step.
@@ -37,10 +38,11 @@
     StepKey step;
     std::uint32_t index = 0;
 
-    auto operator<=>(const TaskKey &) const = default;
+    auto operator<=>(const TaskKey &) const = default; // NOLINT(modernize-use-nullptr)
 
     template <typename H>
-    friend H AbslHashValue(H hash, const TaskKey &key)
+    // The name is prescribed by the library.
+    friend H AbslHashValue(H hash, const TaskKey &key) // NOLINT(readability-identifier-naming)
     {
         return H::combine(std::move(hash), key.step.job, key.step.occurrence, key.step.step, key.index);
     }
--- a/core/dispatch/placement.cpp
+++ b/core/dispatch/placement.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <map>
+#include <span>
+#include <tuple>
 
 namespace wigeonkeel::dispatch
 {
@@ -174,6 +176,7 @@
     }
     std::ranges::sort(found);
     std::vector<WorkerSlot> slots;
+    slots.reserve(found.size());
     for (const auto &[room, slot] : found) {
         slots.push_back(slot);
     }
@@ -225,7 +228,7 @@
     return true;
 }
 
-void reserve(Dispatcher &dispatcher, const ReadyStep &ready, std::vector<PlannedPlace> plan, MonotonicTime until)
+void reserve(Dispatcher &dispatcher, const ReadyStep &ready, std::span<const PlannedPlace> plan, MonotonicTime until)
 {
     for (const PlannedPlace &planned : plan) {
         dispatcher.workers.workers[planned.worker].reserved += chargedSize(*ready.spec);
@@ -334,7 +337,7 @@
 }
 
 /// Stops what stands in the way of the planned places, and reserves their room.
-bool preemptFor(Dispatcher &dispatcher, const ReadyStep &ready, std::vector<PlannedPlace> plan, MonotonicTime now)
+bool preemptFor(Dispatcher &dispatcher, const ReadyStep &ready, std::span<const PlannedPlace> plan, MonotonicTime now)
 {
     std::map<WorkerSlot, Resources> needed;
     for (const PlannedPlace &planned : plan) {
@@ -351,7 +354,7 @@
         }
     }
     const milliseconds wait = dispatcher.bounds.stopTime + planSlack + adviceTime(ready, needed.size());
-    reserve(dispatcher, ready, std::move(plan), now + wait);
+    reserve(dispatcher, ready, plan, now + wait);
     for (const auto &[slot, key] : victims) {
         ++dispatcher.counters.preempted;
         logLine(LogLevel::Info, logPart, "Run preempted. task={} worker={} for={} rank={}", formatTaskKey(key),
@@ -381,7 +384,7 @@
     }
     auto plan = placeGang(dispatcher, ready, roomOfWorkers(dispatcher), now);
     if (plan) {
-        reserve(dispatcher, ready, std::move(*plan), now + planSlack + adviceTime(ready, ready.step->tasks.size()) * 2);
+        reserve(dispatcher, ready, *plan, now + planSlack + adviceTime(ready, ready.step->tasks.size()) * 2);
         if (planHasTickets(dispatcher, ready, now)) {
             startPlan(dispatcher, ready, now);
         }
@@ -392,7 +395,7 @@
     }
     plan = placeGang(dispatcher, ready, roomAfterPreemption(dispatcher, ready, now), now);
     if (plan) {
-        preemptFor(dispatcher, ready, std::move(*plan), now);
+        preemptFor(dispatcher, ready, *plan, now);
     }
 }
 
@@ -472,7 +475,8 @@
 {
     const std::vector<Resources> room = roomAfterPreemption(dispatcher, ready, now);
     const SinglePlace found = chooseSingle(dispatcher, ready, ready.step->tasks[index], room, now);
-    return found.slot != noWorker && preemptFor(dispatcher, ready, {{.task = index, .worker = found.slot}}, now);
+    const PlannedPlace place{.task = index, .worker = found.slot};
+    return found.slot != noWorker && preemptFor(dispatcher, ready, std::span(&place, 1), now);
 }
 
 void placeSingles(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -304,9 +304,10 @@
     }
     Worker &worker = dispatcher.workers.workers[slot];
     std::vector<TaskKey> missing;
-    for (const auto &[key, run] : worker.runs) {
-        const auto isThis = [&key](const RunningTask &running) { return running.task == key; };
-        if (run.seenAt != now && std::ranges::none_of(reply.running, isThis)) {
+    for (const auto &entry : worker.runs) {
+        const TaskKey &key = entry.first;
+        const bool isListed = std::ranges::find(reply.running, key, &RunningTask::task) != reply.running.end();
+        if (entry.second.seenAt != now && !isListed) {
             missing.push_back(key);
         }
     }
@@ -396,9 +397,10 @@
         return;
     }
     if (run.phase == RunPhase::Stopping) {
-        if (!run.stopCallOpen && now - run.orderedAt > stopRetryDelay + dispatcher.bounds.stopTime) {
-            stopRun(dispatcher, slot, key, now);
-        } else if (!run.stopCallOpen && !run.stopAnswered && now - run.orderedAt > stopRetryDelay) {
+        // An answered stop has its time to take effect.
+        const milliseconds patience
+            = stopRetryDelay + (run.stopAnswered ? dispatcher.bounds.stopTime : milliseconds(0));
+        if (!run.stopCallOpen && now - run.orderedAt > patience) {
             stopRun(dispatcher, slot, key, now);
         }
         return;
