leadership: a leader that the store turns away is replaced at once

Change: the leader tells its followers when its writes have failed for 450 ms; one that reads the store claims over it. The test ALeaderThatTheStoreTurnsAwayIsReplaced fails without the change.

--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -160,7 +160,8 @@
     const StoreItem *claim = findItem(reply.items, claimKey);
     if (claim != nullptr) {
         const LeaderInfo present = decodeClaim(*claim);
-        const bool isGone = leadership.leaderRefused && present.token == leadership.leader.token;
+        const bool isGone
+            = (leadership.leaderRefused || leadership.leaderStoreFailing) && present.token == leadership.leader.token;
         const bool isOwn = present.node == node.options.name;
         if (!isGone && !isOwn) {
             abandonClaim(node, now.monotonic);
@@ -260,6 +261,7 @@
     leadership.leader = {.token = reply.revision, .node = node.options.name, .endpoint = node.options.endpoint};
     leadership.leaderConnected = false;
     leadership.leaderRefused = false;
+    leadership.leaderStoreFailing = false;
     leadership.claimMissing = false;
     leadership.nextKeep = now.monotonic;
     node.dialled = {};
@@ -468,7 +470,8 @@
 void tickFollower(Node &node, Now now)
 {
     Leadership &leadership = node.leadership;
-    const bool heard = leadership.leaderConnected && now.monotonic - leadership.leaderHeardAt < heardRecently;
+    const bool heard = leadership.leaderConnected && !leadership.leaderStoreFailing
+        && now.monotonic - leadership.leaderHeardAt < heardRecently;
     if (!leadership.pollOpen && now.monotonic >= leadership.nextPoll) {
         leadership.pollOpen = true;
         leadership.nextPoll = now.monotonic + (heard ? calmPollInterval : pollInterval);
@@ -478,7 +481,8 @@
         = leadership.claimMissing && (!heard || now.monotonic - leadership.claimMissingSince > reclaimTime);
     // The ranks of the daemons are known once all that started together have written their entries.
     const bool ranksKnown = node.membership.knownSince < now.monotonic - startSpread;
-    if ((abandoned || leadership.leaderRefused) && ranksKnown && !node.shuttingDown && node.hasConfiguration) {
+    const bool replaceable = abandoned || leadership.leaderRefused || leadership.leaderStoreFailing;
+    if (replaceable && ranksKnown && !node.shuttingDown && node.hasConfiguration) {
         scheduleClaim(node, now.monotonic);
     } else {
         leadership.claimAt = MonotonicTime::max();
@@ -522,6 +526,7 @@
     leadership.leaderConnected = std::ranges::find(node.connectedNodes, leader.node) != node.connectedNodes.end();
     leadership.leaderHeardAt = leadership.leaderConnected ? now.monotonic : leadership.leaderHeardAt;
     leadership.leaderRefused = false;
+    leadership.leaderStoreFailing = false;
     leadership.claimMissing = false;
     leadership.claimAt = MonotonicTime::max();
     for (auto &[call, entry] : node.entries) {
--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -29,6 +29,9 @@
 constexpr milliseconds workerPollInterval{600};
 constexpr milliseconds workerPollRetry{150};
 constexpr milliseconds presenceInterval{300};
+/// A leader whose writes fail for this long lets a daemon that reaches the store take over. Longer than one answer that
+/// was lost, with its retry.
+constexpr milliseconds storeHandover{450};
 /// A daemon that knows no leader asks another seed after this.
 constexpr milliseconds seedInterval{700};
 /// A call that no leader could be given is refused after this: a takeover takes less than a second.
@@ -55,7 +58,8 @@
         .leader = node.leadership.phase == ClaimPhase::Following && node.leadership.leader.node == node.options.name
             ? LeaderInfo{}
             : node.leadership.leader,
-        .configVersion = node.configuration.version};
+        .configVersion = node.configuration.version,
+        .storeFailing = node.storeFailing};
 }
 
 void giveToLeader(Node &node, EntryCall &entry, Now now)
@@ -230,6 +234,21 @@
     }
 }
 
+/// A leader that the store turns away tells its followers at once; the store may serve them.
+void noteStoreState(Node &node, Now now)
+{
+    bool failing = false;
+    if (isLeading(node)) {
+        const StoreHealth &health = node.dispatcher->commits.health;
+        failing = health.failing && now.monotonic - health.failingSince > storeHandover;
+    }
+    if (failing != node.storeFailing) {
+        node.storeFailing = failing;
+        node.nextPresence = now.monotonic;
+        logLine(LogLevel::Info, logPart, "The leader's writes to the store {}.", failing ? "fail" : "succeed again");
+    }
+}
+
 void refreshAdviceLines(Node &node)
 {
     if (!node.dispatcher) {
@@ -270,6 +289,7 @@
             leadership.claimMissingSince = now.monotonic;
         } else {
             leadership.leaderHeardAt = now.monotonic;
+            leadership.leaderStoreFailing = presence.storeFailing && presence.leader.token == leadership.leader.token;
         }
     }
     followLeader(node, presence.leader, now);
@@ -498,6 +518,7 @@
     }
     giveWaitingCalls(node, now);
     expireEntries(node, now);
+    noteStoreState(node, now);
     sendPresence(node, now);
     tickReadiness(node, now);
 }
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -70,6 +70,9 @@
     bool leaderConnected = false;
     /// The leader's port refused a connection after the one before broke: its process is gone.
     bool leaderRefused = false;
+    /// The leader says that it can't write to the store; a daemon that can takes over, before ends that only workers
+    /// keep are lost with a worker.
+    bool leaderStoreFailing = false;
     /// The claim vanished from the store.
     bool claimMissing = false;
     MonotonicTime claimMissingSince{};
@@ -167,6 +170,8 @@
     std::vector<std::string> connectedNodes;
     MonotonicTime nextPresence{};
     bool ready = false;
+    /// Told to the followers.
+    bool storeFailing = false;
     bool shuttingDown = false;
     Endpoint dialled;
     MonotonicTime nextSeed{};
--- a/core/dispatch/peer_messages.h
+++ b/core/dispatch/peer_messages.h
@@ -26,6 +26,8 @@
     std::string node;
     LeaderInfo leader;
     std::uint64_t configVersion = 0;
+    /// The sender leads, and its writes to the store fail.
+    bool storeFailing = false;
 };
 
 /// A client's call, handed to the leader.
--- a/drivers/cluster_protocol/cluster_codec.cpp
+++ b/drivers/cluster_protocol/cluster_codec.cpp
@@ -33,7 +33,7 @@
 {
     const auto offset = wire::CreatePresence(builder, builder.CreateString(presence.node), presence.leader.token,
         builder.CreateString(presence.leader.node), builder.CreateString(presence.leader.endpoint.ip),
-        presence.leader.endpoint.port, presence.configVersion);
+        presence.leader.endpoint.port, presence.configVersion, presence.storeFailing);
     return {wire::Body::Presence, offset.Union()};
 }
 
@@ -79,7 +79,8 @@
         .leader = {.token = presence.token(),
             .node = textOf(presence.leader()),
             .endpoint = {.ip = textOf(presence.leader_ip()), .port = presence.leader_port()}},
-        .configVersion = presence.config_version()};
+        .configVersion = presence.config_version(),
+        .storeFailing = presence.store_failing()};
 }
 
 PeerBody read(const wire::Call &call)
--- a/drivers/cluster_protocol/cluster_generated.h
+++ b/drivers/cluster_protocol/cluster_generated.h
@@ -115,7 +115,8 @@
     VT_LEADER = 8,
     VT_LEADER_IP = 10,
     VT_LEADER_PORT = 12,
-    VT_CONFIG_VERSION = 14
+    VT_CONFIG_VERSION = 14,
+    VT_STORE_FAILING = 16
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -135,6 +136,9 @@
   uint64_t config_version() const {
     return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
   }
+  bool store_failing() const {
+    return GetField<uint8_t>(VT_STORE_FAILING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -146,6 +150,7 @@
            verifier.VerifyString(leader_ip()) &&
            VerifyField<uint16_t>(verifier, VT_LEADER_PORT, 2) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STORE_FAILING, 1) &&
            verifier.EndTable();
   }
 };
@@ -172,6 +177,9 @@
   void add_config_version(uint64_t config_version) {
     fbb_.AddElement<uint64_t>(Presence::VT_CONFIG_VERSION, config_version, 0);
   }
+  void add_store_failing(bool store_failing) {
+    fbb_.AddElement<uint8_t>(Presence::VT_STORE_FAILING, static_cast<uint8_t>(store_failing), 0);
+  }
   explicit PresenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -190,7 +198,8 @@
     flatbuffers::Offset<flatbuffers::String> leader = 0,
     flatbuffers::Offset<flatbuffers::String> leader_ip = 0,
     uint16_t leader_port = 0,
-    uint64_t config_version = 0) {
+    uint64_t config_version = 0,
+    bool store_failing = false) {
   PresenceBuilder builder_(_fbb);
   builder_.add_config_version(config_version);
   builder_.add_token(token);
@@ -198,6 +207,7 @@
   builder_.add_leader(leader);
   builder_.add_node(node);
   builder_.add_leader_port(leader_port);
+  builder_.add_store_failing(store_failing);
   return builder_.Finish();
 }
 
@@ -208,7 +218,8 @@
     const char *leader = nullptr,
     const char *leader_ip = nullptr,
     uint16_t leader_port = 0,
-    uint64_t config_version = 0) {
+    uint64_t config_version = 0,
+    bool store_failing = false) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   auto leader_ip__ = leader_ip ? _fbb.CreateString(leader_ip) : 0;
@@ -219,7 +230,8 @@
       leader__,
       leader_ip__,
       leader_port,
-      config_version);
+      config_version,
+      store_failing);
 }
 
 struct Call FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/dispatch/dispatch_recovery_test.cpp
+++ b/tests/dispatch/dispatch_recovery_test.cpp
@@ -266,3 +266,25 @@
     CHECK(answer && answer->state == JobState::Cancelled);
     CHECK_EQUAL(4, world.starts);
 }
+
+// Guards against ends that only workers keep, because the store turns the leader away while it serves the others: a
+// worker that is lost then takes them along, and its tasks run again.
+TEST(DispatchRecovery, ALeaderThatTheStoreTurnsAwayIsReplaced)
+{
+    World world(3, 4);
+    world.run(settleTime);
+    const std::size_t first = world.leaderIndex();
+    world.submit(otherThan(first), 0x51, oneStep(4, 1000, milliseconds(400)), "batch");
+    world.run(milliseconds(200));
+    world.store.refused.insert(first);
+    world.run(milliseconds(1800));
+    CHECK(world.leaderIndex() != first);
+    for (std::size_t worker = 0; worker < world.workers.size(); ++worker) {
+        world.crashWorker(worker);
+        world.restartWorker(worker);
+    }
+    world.run(milliseconds(6000));
+    CHECK(isDone(world, otherThan(first), 0x51));
+    CHECK_EQUAL(4, world.starts);
+    checkPromises(world);
+}
--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -155,6 +155,11 @@
     return std::nullopt;
 }
 
+bool World::isRefused(std::size_t node) const
+{
+    return store.down || store.refused.contains(node);
+}
+
 std::size_t World::workerIndex(std::string_view id) const
 {
     const auto found = std::ranges::find(workers, id, [](const WorldWorker &worker) { return worker.entry.id; });
@@ -447,7 +452,7 @@
         after(storeHop, [this, node, transaction = *transaction] {
             ++store.calls;
             StoreReply result{.call = transaction.call, .status = CallStatus::Refused, .items = {}};
-            if (!store.down) {
+            if (!isRefused(node)) {
                 result = transact(transaction);
                 if (randomBelow(random, 100) < store.lostAnswers) {
                     result = {.call = transaction.call, .status = CallStatus::Unknown, .items = {}};
@@ -458,27 +463,27 @@
             }
         });
     } else if (const auto *asked = std::get_if<StoreRange>(&action)) {
-        storeReply([this, asked = *asked] {
+        storeReply([this, node, asked = *asked] {
             StoreReply result = range(asked);
-            result.status = store.down ? CallStatus::Refused : CallStatus::Ok;
+            result.status = isRefused(node) ? CallStatus::Refused : CallStatus::Ok;
             return [result](Node &owner, Now at) { takeStoreReply(owner, result, at); };
         });
     } else if (const auto *open = std::get_if<StoreOpenLease>(&action)) {
-        storeReply([this, open = *open] {
+        storeReply([this, node, open = *open] {
             const std::uint64_t lease = 1000 + ++m_order;
             store.leases[lease] = {time + open.timeToLive, open.timeToLive};
             const StoreReply result{.call = open.call,
-                .status = store.down ? CallStatus::Refused : CallStatus::Ok,
+                .status = isRefused(node) ? CallStatus::Refused : CallStatus::Ok,
                 .items = {},
                 .lease = lease,
                 .timeToLive = open.timeToLive};
             return [result](Node &owner, Now at) { takeStoreReply(owner, result, at); };
         });
     } else if (const auto *keep = std::get_if<StoreKeepLease>(&action)) {
-        storeReply([this, keep = *keep] {
+        storeReply([this, node, keep = *keep] {
             const auto found = store.leases.find(keep.lease);
             StoreReply result{.call = keep.call, .status = CallStatus::Refused, .items = {}};
-            if (!store.down) {
+            if (!isRefused(node)) {
                 result.status = found == store.leases.end() ? CallStatus::NotFound : CallStatus::Ok;
                 if (found != store.leases.end()) {
                     found->second.first = time + found->second.second;
@@ -504,8 +509,9 @@
                      .revision = store.revision}](Node &owner, Now at) { takeConfiguration(owner, result, at); });
         });
     } else if (const auto *directory = std::get_if<ReadWorkers>(&action)) {
-        storeReply([this, id = directory->call] {
-            WorkersReply result{.call = id, .status = store.down ? CallStatus::Refused : CallStatus::Ok, .workers = {}};
+        storeReply([this, node, id = directory->call] {
+            WorkersReply result{
+                .call = id, .status = isRefused(node) ? CallStatus::Refused : CallStatus::Ok, .workers = {}};
             for (const WorldWorker &worker : workers) {
                 if (worker.up && !worker.unlisted) {
                     result.workers.push_back(worker.entry);
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -70,6 +70,8 @@
     std::map<std::uint64_t, std::pair<milliseconds, milliseconds>> leases;
     std::uint64_t revision = 1;
     bool down = false;
+    /// Daemons that the store turns away.
+    std::set<std::size_t> refused;
     /// Share of transactions that are done and not answered, in percent.
     std::uint64_t lostAnswers = 0;
     std::size_t calls = 0;
@@ -164,6 +166,7 @@
     std::optional<std::size_t> nodeAt(const Endpoint &endpoint) const;
     void connectNodes(std::size_t from, const Endpoint &endpoint);
     void disconnect(std::size_t node);
+    bool isRefused(std::size_t node) const;
     std::size_t workerIndex(std::string_view id) const;
 
     std::priority_queue<Event> m_events;
