--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -245,7 +245,10 @@
     if (failing != node.storeFailing) {
         node.storeFailing = failing;
         node.nextPresence = now.monotonic;
-        logLine(LogLevel::Info, logPart, "The leader's writes to the store {}.", failing ? "fail" : "succeed again");
+        if (isLeading(node)) {
+            logLine(
+                LogLevel::Info, logPart, "The leader's writes to the store {}.", failing ? "fail" : "succeed again");
+        }
     }
 }
 
