--- a/drivers/cluster_protocol/cluster_codec.cpp
+++ b/drivers/cluster_protocol/cluster_codec.cpp
@@ -152,6 +152,9 @@
 
 std::optional<PeerBody> decodePeerBody(std::span<const std::byte> bytes)
 {
+    if (bytes.empty()) {
+        return std::nullopt;
+    }
     // FlatBuffers reads numbers in place, so the buffer must be aligned for the largest of them.
     std::vector<std::uint64_t> aligned((bytes.size() + sizeof(std::uint64_t) - 1) / sizeof(std::uint64_t));
     std::memcpy(aligned.data(), bytes.data(), bytes.size());
