Clean-up of the platform's daemon: one piece for what stood twice, and dead code removed

No change of behaviour is meant. Removed: findWorker(), findPool(), the action LimitsChanged that no plug-in took, and fields that nothing read.

--- a/core/dispatch/configuration.cpp
+++ b/core/dispatch/configuration.cpp
@@ -38,10 +38,4 @@
     return found == configuration.byName.end() ? nullptr : &configuration.queues[found->second];
 }
 
-const PoolConfig *findPool(const Configuration &configuration, std::string_view name)
-{
-    const auto found = std::ranges::find(configuration.pools, name, &PoolConfig::name);
-    return found == configuration.pools.end() ? nullptr : &*found;
-}
-
 } // namespace wigeonkeel::dispatch
--- a/core/dispatch/configuration.h
+++ b/core/dispatch/configuration.h
@@ -76,6 +76,5 @@
 /// The queue with the longest prefix of the path at this host; null if there is none.
 const QueueConfig *findQueue(const Configuration &configuration, std::string_view host, std::string_view path);
 const QueueConfig *findQueueByName(const Configuration &configuration, const std::string &name);
-const PoolConfig *findPool(const Configuration &configuration, std::string_view name);
 
 } // namespace wigeonkeel::dispatch
--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -29,12 +29,6 @@
 constexpr milliseconds outageRetryAfter{1000};
 constexpr milliseconds overloadRetryAfter{2000};
 
-void observe(Dispatcher &dispatcher, DurationKind kind, MonotonicTime::duration duration)
-{
-    dispatcher.outbox->add(
-        ObserveDuration{.kind = kind, .duration = std::chrono::duration_cast<milliseconds>(duration)});
-}
-
 bool storeIsAway(const Dispatcher &dispatcher, MonotonicTime now, milliseconds patience)
 {
     const StoreHealth &health = dispatcher.commits.health;
@@ -334,6 +328,12 @@
 
 } // namespace
 
+void observe(Dispatcher &dispatcher, DurationKind kind, MonotonicTime::duration duration)
+{
+    dispatcher.outbox->add(
+        ObserveDuration{.kind = kind, .duration = std::chrono::duration_cast<milliseconds>(duration)});
+}
+
 void setConfiguration(Dispatcher &dispatcher, const Configuration &configuration)
 {
     dispatcher.configuration = configuration;
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -31,8 +31,6 @@
     milliseconds gangTimeout{3000};
     /// Ended jobs are known to clients for at least this long.
     milliseconds keepEnded{120000};
-    /// A start may come at most this much before its time.
-    milliseconds earlyStart{250};
 };
 
 struct OpenOrder
@@ -105,6 +103,9 @@
     DispatchCounters counters;
 };
 
+/// Hands a duration to the histograms.
+void observe(Dispatcher &dispatcher, DurationKind kind, MonotonicTime::duration duration);
+
 // --- events ---
 
 void setConfiguration(Dispatcher &dispatcher, const Configuration &configuration);
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -38,7 +38,6 @@
 constexpr milliseconds claimRetry{200};
 /// Leases of workers that can't be reached end within the lease that leaders ask for, by a clock that may be 2% slow;
 /// a former leader's last order may have been on its way.
-constexpr double clockSlack = 1.02;
 constexpr milliseconds inheritanceMargin{1000};
 /// A leader that can't be reached by most daemons that the store lists makes room for another.
 constexpr milliseconds isolationTime{1200};
@@ -51,13 +50,6 @@
     node.leadership.phaseSince = now;
 }
 
-CallId storeCall(Node &node, StorePurpose purpose)
-{
-    const CallId call = node.outbox.newCall();
-    node.storeCalls.emplace(call, purpose);
-    return call;
-}
-
 std::string encodeClaim(const Node &node)
 {
     return fmt::format("{} {} {}", node.options.name, node.options.endpoint.ip, node.options.endpoint.port);
@@ -226,7 +218,7 @@
         dispatcher.commits.streams.at(stream).revision = token;
     }
     setConfiguration(dispatcher, node.configuration);
-    const auto lease = std::chrono::duration<double, std::milli>(node.options.bounds.workerLease) * clockSlack;
+    const auto lease = std::chrono::duration<double, std::milli>(node.options.bounds.workerLease) * workerClockSlack;
     dispatcher.inheritanceSettlesAt = now + std::chrono::ceil<milliseconds>(lease) + inheritanceMargin;
 }
 
--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -134,13 +134,6 @@
     }
 }
 
-CallId memberCall(Node &node, StorePurpose purpose)
-{
-    const CallId call = node.outbox.newCall();
-    node.storeCalls.emplace(call, purpose);
-    return call;
-}
-
 void tickMembership(Node &node, Now now)
 {
     Membership &membership = node.membership;
@@ -148,9 +141,9 @@
         membership.callOpen = true;
         if (membership.lease == 0) {
             node.outbox.add(
-                StoreOpenLease{.call = memberCall(node, StorePurpose::MemberLease), .timeToLive = memberLease});
+                StoreOpenLease{.call = storeCall(node, StorePurpose::MemberLease), .timeToLive = memberLease});
         } else if (!membership.written) {
-            node.outbox.add(StoreTransaction{.call = memberCall(node, StorePurpose::MemberWrite),
+            node.outbox.add(StoreTransaction{.call = storeCall(node, StorePurpose::MemberWrite),
                 .conditions = {},
                 .writes = {{.key = fmt::format("{}{}", memberPrefix, node.options.name),
                     .value = fmt::format("{}", node.options.cpuMilli),
@@ -159,13 +152,13 @@
                 .timeout = memberRetry});
         } else {
             node.outbox.add(
-                StoreKeepLease{.call = memberCall(node, StorePurpose::MemberKeep), .lease = membership.lease});
+                StoreKeepLease{.call = storeCall(node, StorePurpose::MemberKeep), .lease = membership.lease});
         }
     }
     if (now.monotonic >= membership.nextList) {
         const bool first = membership.knownSince == MonotonicTime::max();
         membership.nextList = now.monotonic + (first ? memberListRetry : memberListInterval);
-        node.outbox.add(StoreRange{.call = memberCall(node, StorePurpose::MemberList),
+        node.outbox.add(StoreRange{.call = storeCall(node, StorePurpose::MemberList),
             .prefix = std::string(memberPrefix),
             .after = {},
             .mayBeStale = !first});
@@ -328,6 +321,13 @@
 
 } // namespace
 
+CallId storeCall(Node &node, StorePurpose purpose)
+{
+    const CallId call = node.outbox.newCall();
+    node.storeCalls.emplace(call, purpose);
+    return call;
+}
+
 bool isLeading(const Node &node)
 {
     return node.dispatcher != nullptr && node.leadership.phase == ClaimPhase::Leading;
@@ -360,7 +360,6 @@
         reply.configuration->version, node.configuration.version, reply.configuration->queues.size(), reply.revision);
     node.configuration = *reply.configuration;
     node.hasConfiguration = true;
-    node.outbox.add(LimitsChanged{.limits = node.configuration.limits});
     if (node.dispatcher) {
         setConfiguration(*node.dispatcher, node.configuration);
     }
@@ -534,7 +533,7 @@
         stepDown(node, "shutdown", now);
     }
     if (node.membership.lease != 0) {
-        node.outbox.add(StoreEndLease{.call = memberCall(node, StorePurpose::Ignored), .lease = node.membership.lease});
+        node.outbox.add(StoreEndLease{.call = storeCall(node, StorePurpose::Ignored), .lease = node.membership.lease});
     }
     tickReadiness(node, now);
     sendPresence(node, now);
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -177,6 +177,9 @@
     MonotonicTime nextSeed{};
 };
 
+/// Numbers a call to the store; its reply goes to the part that this purpose belongs to.
+CallId storeCall(Node &node, StorePurpose purpose);
+
 // --- events ---
 
 void takeConfiguration(Node &node, const ConfigurationReply &reply, Now now);
--- a/core/dispatch/peer_messages.h
+++ b/core/dispatch/peer_messages.h
@@ -74,9 +74,4 @@
     bool ready = false;
 };
 
-struct LimitsChanged
-{
-    ClientLimits limits;
-};
-
 } // namespace wigeonkeel::dispatch
--- a/core/dispatch/placement.cpp
+++ b/core/dispatch/placement.cpp
@@ -32,6 +32,8 @@
 /// Allowed workers to look for, as a multiple of those that the waiting tasks need.
 constexpr double adviceSurplus = 1.5;
 constexpr std::size_t minAdviceWorkers = 4;
+/// Share of allowed workers to reckon with at least, so that a question stays of a bounded size.
+constexpr double minShare = 0.05;
 /// The same for gangs, whose questions take long in any case and whose members need room at one time.
 constexpr double gangSurplus = 2.5;
 constexpr std::size_t minGangWorkers = 24;
@@ -186,7 +188,7 @@
 /// How many workers to name so that enough of them are likely to be allowed.
 std::size_t workersToName(const Dispatcher &dispatcher, const ReadyStep &ready)
 {
-    const double share = std::max(0.05, allowedShare(dispatcher.advisor, ready.queue->name));
+    const double share = std::max(minShare, allowedShare(dispatcher.advisor, ready.queue->name));
     const double wanted = static_cast<double>(ready.step->waiting) * adviceSurplus / share;
     return std::max(minAdviceWorkers, static_cast<std::size_t>(wanted) + 1);
 }
@@ -194,7 +196,7 @@
 /// Enough of the workers that a gang is likely to find its places among those that the adviser allows.
 void trimForGang(const Dispatcher &dispatcher, const ReadyStep &ready, std::vector<WorkerSlot> &workers)
 {
-    const double share = std::max(0.05, allowedShare(dispatcher.advisor, ready.queue->name));
+    const double share = std::max(minShare, allowedShare(dispatcher.advisor, ready.queue->name));
     const auto members = static_cast<std::uint32_t>(ready.step->tasks.size());
     double likely = 0;
     std::size_t count = 0;
@@ -694,8 +696,7 @@
     logLine(LogLevel::Info, logPart, "Advice. step={} asked={} allowed={} waited_ms={}",
         formatStepKey(open->question.step), open->question.workers.size(), reply.allowed.size(),
         std::chrono::floor<milliseconds>(now - open->question.askedAt).count());
-    dispatcher.outbox->add(ObserveDuration{.kind = DurationKind::Advice,
-        .duration = std::chrono::duration_cast<milliseconds>(now - open->question.askedAt)});
+    observe(dispatcher, DurationKind::Advice, now - open->question.askedAt);
     dispatcher.placementDue = true;
 }
 
--- a/core/dispatch/task_runs.cpp
+++ b/core/dispatch/task_runs.cpp
@@ -30,11 +30,6 @@
     return names.at(static_cast<std::size_t>(end));
 }
 
-WorkerTarget targetOf(const Worker &worker)
-{
-    return {.id = worker.entry.id, .endpoint = worker.entry.endpoint, .incarnation = worker.entry.incarnation};
-}
-
 void sendStart(Dispatcher &dispatcher, WorkerSlot slot, const TaskKey &key, Run &run, const TaskPlace &place)
 {
     Worker &worker = dispatcher.workers.workers[slot];
@@ -247,6 +242,20 @@
         worker.entry.id);
 }
 
+namespace
+{
+
+void stopAssigned(Dispatcher &dispatcher, const StepRun &step, const StepKey &key, MonotonicTime now)
+{
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        if (step.tasks[index].phase == TaskPhase::Assigned) {
+            stopRun(dispatcher, step.tasks[index].worker, {.step = key, .index = index}, now);
+        }
+    }
+}
+
+} // namespace
+
 void abortGang(Dispatcher &dispatcher, const TaskPlace &place, const StepKey &key, MonotonicTime now)
 {
     StepRun &step = *place.step;
@@ -257,11 +266,7 @@
     ++dispatcher.counters.gangsUndone;
     logLine(LogLevel::Info, logPart, "Gang undone. step={} attempt={} members={}", formatStepKey(key), step.gangAttempt,
         step.tasks.size());
-    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
-        if (step.tasks[index].phase == TaskPhase::Assigned) {
-            stopRun(dispatcher, step.tasks[index].worker, {.step = key, .index = index}, now);
-        }
-    }
+    stopAssigned(dispatcher, step, key, now);
 }
 
 namespace
@@ -389,14 +394,8 @@
         for (std::uint32_t number = 0; number < occurrence.steps.size(); ++number) {
             StepRun &step = occurrence.steps[number];
             dropPlan(dispatcher, job.record.spec.steps[number], step);
-            for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
-                if (step.tasks[index].phase == TaskPhase::Assigned) {
-                    stopRun(dispatcher, step.tasks[index].worker,
-                        {.step = {.job = job.record.id, .occurrence = occurrence.number, .step = number},
-                            .index = index},
-                        now);
-                }
-            }
+            stopAssigned(
+                dispatcher, step, {.job = job.record.id, .occurrence = occurrence.number, .step = number}, now);
         }
     }
     job.state = state;
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -88,8 +88,7 @@
 void noteStarted(Dispatcher &dispatcher, Job &job, MonotonicTime now)
 {
     if (!job.started) {
-        dispatcher.outbox->add(ObserveDuration{.kind = DurationKind::FirstStart,
-            .duration = std::chrono::duration_cast<milliseconds>(now - job.submittedAt)});
+        observe(dispatcher, DurationKind::FirstStart, now - job.submittedAt);
     }
     job.started = true;
     job.state = JobState::Running;
@@ -321,7 +320,7 @@
     Worker &worker = dispatcher.workers.workers[slot];
     const bool known = worker.greeted;
     RenewWorker call{.call = dispatcher.outbox->newCall(),
-        .worker = {.id = worker.entry.id, .endpoint = worker.entry.endpoint, .incarnation = worker.entry.incarnation},
+        .worker = targetOf(worker),
         .fencingToken = dispatcher.token,
         .acknowledged = acknowledgeable(worker),
         .leaseUntil = {},
@@ -463,7 +462,6 @@
         Worker &worker = dispatcher.workers.workers[slot];
         if (!seen[slot] && worker.listed) {
             worker.listed = false;
-            worker.unlistedSince = now;
             changed = true;
             logLine(LogLevel::Info, logPart, "Worker left the directory. worker={} runs={}", worker.entry.id,
                 worker.runs.size());
@@ -530,7 +528,6 @@
         setIncarnation(dispatcher, slot, reply.incarnation, now);
         // A new life may be of another size; the directory has to tell it first.
         worker.listed = false;
-        worker.unlistedSince = now;
     }
     worker.clock = reply.clock;
     worker.clockReadAt = now;
--- a/core/dispatch/worker_table.cpp
+++ b/core/dispatch/worker_table.cpp
@@ -8,8 +8,6 @@
 namespace
 {
 
-/// A worker's clock may run this much slow (the platform's contract).
-constexpr double clockSlack = 1.02;
 /// Failed runs in short order after which a worker gets no starts for a while. One or two failures also come from jobs
 /// that fail everywhere.
 constexpr double avoidedSuspicion = 2.5;
@@ -22,12 +20,6 @@
 
 } // namespace
 
-WorkerSlot findWorker(const WorkerTable &table, std::string_view id)
-{
-    const auto found = table.byId.find(std::string(id));
-    return found == table.byId.end() ? noWorker : found->second;
-}
-
 WorkerSlot addWorker(WorkerTable &table, std::string_view id)
 {
     const auto slot = static_cast<WorkerSlot>(table.workers.size());
@@ -38,6 +30,11 @@
     return place->second;
 }
 
+WorkerTarget targetOf(const Worker &worker)
+{
+    return {.id = worker.entry.id, .endpoint = worker.entry.endpoint, .incarnation = worker.entry.incarnation};
+}
+
 bool takesStarts(const Worker &worker, MonotonicTime now)
 {
     return worker.listed && worker.greeted && !worker.entry.draining && worker.renewalFailures == 0
@@ -46,14 +43,14 @@
 
 WorkerTime workerClockNow(const Worker &worker, MonotonicTime now)
 {
-    const auto elapsed = std::chrono::duration<double, std::milli>(now - worker.clockReadAt) / clockSlack;
+    const auto elapsed = std::chrono::duration<double, std::milli>(now - worker.clockReadAt) / workerClockSlack;
     return worker.clock + std::chrono::floor<milliseconds>(elapsed);
 }
 
 MonotonicTime leaseEndsBy(const Worker &worker)
 {
     const auto left = std::max(milliseconds(0), worker.leaseAsked - worker.clock);
-    const auto slackened = std::chrono::duration<double, std::milli>(left) * clockSlack;
+    const auto slackened = std::chrono::duration<double, std::milli>(left) * workerClockSlack;
     return worker.clockReadAt + std::chrono::ceil<milliseconds>(slackened);
 }
 
--- a/core/dispatch/worker_table.h
+++ b/core/dispatch/worker_table.h
@@ -15,6 +15,8 @@
 
 /// Place of a worker in the table; stays the same over the worker's lives.
 using WorkerSlot = std::uint32_t;
+/// A worker's clock may run this much slow (the platform's contract).
+inline constexpr double workerClockSlack = 1.02;
 inline constexpr WorkerSlot noWorker = UINT32_MAX;
 
 enum class RunPhase : std::uint8_t {
@@ -59,8 +61,6 @@
     MonotonicTime avoidUntil{};
     /// Longer with each time the worker was avoided in a row.
     milliseconds nextAvoidance{0};
-    /// Speed against the estimates of tasks that ended here, 1 if as elsewhere.
-    double slowness = 1.0;
 };
 
 /// A worker and what this leader has on it.
@@ -71,8 +71,6 @@
     bool listed = true;
     /// Known from a former leader and not heard yet; may hold runs of inherited jobs.
     bool inherited = false;
-    /// Since when the directory doesn't list it.
-    MonotonicTime unlistedSince{};
     /// The worker answered under this leader's token, so that older orders are refused.
     bool greeted = false;
     Resources used;
@@ -111,10 +109,12 @@
     absl::flat_hash_map<std::string, WorkerSlot> byId;
 };
 
-WorkerSlot findWorker(const WorkerTable &table, std::string_view id);
 /// Adds the worker if it is new.
 WorkerSlot addWorker(WorkerTable &table, std::string_view id);
 
+/// Names the worker's present life, for an order.
+WorkerTarget targetOf(const Worker &worker);
+
 inline Resources freeRoom(const Worker &worker)
 {
     return worker.entry.capacity - worker.used - worker.reserved;
--- a/drivers/cluster_protocol/cluster_codec.cpp
+++ b/drivers/cluster_protocol/cluster_codec.cpp
@@ -1,9 +1,8 @@
 #include "drivers/cluster_protocol/cluster_codec.h"
 
 #include "drivers/cluster_protocol/cluster_generated.h"
-#include "drivers/peer_protocol/peer_codec.h"
+#include "drivers/peer_protocol/frame_bytes.h"
 
-#include <cstring>
 #include <vector>
 
 namespace wigeonkeel::dispatch
@@ -140,14 +139,7 @@
     Builder builder(firstBufferBytes);
     const auto [type, offset] = std::visit([&builder](const auto &message) { return build(builder, message); }, body);
     builder.Finish(wire::CreateEnvelope(builder, type, offset));
-    const std::size_t size = builder.GetSize();
-    std::string frame;
-    frame.reserve(frameHeaderSize + size);
-    for (std::size_t i = 0; i < frameHeaderSize; ++i) {
-        frame.push_back(static_cast<char>((size >> (8 * i)) & 0xff));
-    }
-    frame.append(reinterpret_cast<const char *>(builder.GetBufferPointer()), size);
-    return frame;
+    return withFrameHeader({builder.GetBufferPointer(), builder.GetSize()});
 }
 
 std::optional<PeerBody> decodePeerBody(std::span<const std::byte> bytes)
@@ -155,15 +147,12 @@
     if (bytes.empty()) {
         return std::nullopt;
     }
-    // FlatBuffers reads numbers in place, so the buffer must be aligned for the largest of them.
-    std::vector<std::uint64_t> aligned((bytes.size() + sizeof(std::uint64_t) - 1) / sizeof(std::uint64_t));
-    std::memcpy(aligned.data(), bytes.data(), bytes.size());
-    const auto *data = reinterpret_cast<const std::uint8_t *>(aligned.data());
-    flatbuffers::Verifier verifier(data, bytes.size());
+    const AlignedMessage message(bytes);
+    flatbuffers::Verifier verifier(message.data(), message.size());
     if (!wire::VerifyEnvelopeBuffer(verifier)) {
         return std::nullopt;
     }
-    const wire::Envelope *envelope = wire::GetEnvelope(data);
+    const wire::Envelope *envelope = wire::GetEnvelope(message.data());
     switch (envelope->body_type()) {
     case wire::Body::Presence:
         return read(*envelope->body_as_Presence());
--- a/drivers/peer_protocol/peer_decode.cpp
+++ b/drivers/peer_protocol/peer_decode.cpp
@@ -1,5 +1,6 @@
 #include "drivers/peer_protocol/peer_codec.h"
 
+#include "drivers/peer_protocol/frame_bytes.h"
 #include "drivers/peer_protocol/peer_generated.h"
 
 #include <cstring>
@@ -386,10 +387,8 @@
         problem = bytes.empty() ? FrameProblem::Empty : FrameProblem::TooLarge;
         return std::nullopt;
     }
-    // FlatBuffers reads numbers in place, so the buffer must be aligned for the largest of them.
-    std::vector<std::uint64_t> aligned((bytes.size() + sizeof(std::uint64_t) - 1) / sizeof(std::uint64_t));
-    std::memcpy(aligned.data(), bytes.data(), bytes.size());
-    return decodeAligned(reinterpret_cast<const std::uint8_t *>(aligned.data()), bytes.size(), problem);
+    const AlignedMessage message(bytes);
+    return decodeAligned(message.data(), message.size(), problem);
 }
 
 } // namespace wigeonkeel
--- a/drivers/peer_protocol/peer_encode.cpp
+++ b/drivers/peer_protocol/peer_encode.cpp
@@ -1,5 +1,6 @@
 #include "drivers/peer_protocol/peer_codec.h"
 
+#include "drivers/peer_protocol/frame_bytes.h"
 #include "drivers/peer_protocol/peer_generated.h"
 
 namespace wigeonkeel
@@ -281,13 +282,7 @@
     if (size > maxFrameSize) {
         return std::nullopt;
     }
-    std::string frame;
-    frame.reserve(frameHeaderSize + size);
-    for (std::size_t i = 0; i < frameHeaderSize; ++i) {
-        frame.push_back(static_cast<char>((size >> (8 * i)) & 0xff));
-    }
-    frame.append(reinterpret_cast<const char *>(builder.GetBufferPointer()), size);
-    return frame;
+    return withFrameHeader({builder.GetBufferPointer(), size});
 }
 
 } // namespace wigeonkeel
--- a/main/wigeonkeel_entry.cpp
+++ b/main/wigeonkeel_entry.cpp
@@ -2,16 +2,14 @@
 #include "core/log.h"
 #include "core/running_plugins.h"
 #include "drivers/clock/system_clock.h"
+#include "main/read_file.h"
 #include "modules/cluster_link/register_dispatch.h"
 #include "modules/cluster_metrics/register_dispatch.h"
 #include "platform/register_platform.h"
 
 #include <csignal>
 #include <cstdio>
-#include <fstream>
-#include <optional>
 #include <random>
-#include <sstream>
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -39,17 +37,6 @@
 /// Left of the platform's grace when the process ends by itself.
 constexpr milliseconds graceMargin{700};
 
-std::optional<std::string> readFile(std::string_view path)
-{
-    std::ifstream file{std::string(path)};
-    if (!file) {
-        return std::nullopt;
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 /// Ends the loop when open calls are answered, at the latest shortly before the platform kills the process.
 struct Shutdown
 {
--- a/main/wigeonkeeld.cpp
+++ b/main/wigeonkeeld.cpp
@@ -4,12 +4,10 @@
 #include "core/settings.h"
 #include "drivers/clock/system_clock.h"
 #include "main/daemon_setup.h"
+#include "main/read_file.h"
 
 #include <csignal>
 #include <cstdio>
-#include <fstream>
-#include <optional>
-#include <sstream>
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -32,17 +30,6 @@
 /// Ticks between closing the listeners and the end of the process.
 constexpr int ticksAfterClosing = 4;
 
-std::optional<std::string> readFile(std::string_view path)
-{
-    std::ifstream file{std::string(path)};
-    if (!file) {
-        return std::nullopt;
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 int run(const Settings &settings, const Registry &registry)
 {
     EventLoop loop(systemClock());
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -27,11 +27,6 @@
     bool willFail = false;
 };
 
-struct WorldEnd
-{
-    EndedTask ended;
-};
-
 /// A worker that runs what it is told, as the platform's contract describes: leases, fencing tokens, attempts, lists.
 struct WorldWorker
 {
@@ -51,7 +46,6 @@
     std::uint64_t lastNumber = 0;
     milliseconds leaseUntil{0};
     std::map<TaskKey, std::uint32_t> stoppedAttempts;
-    std::set<std::uint64_t> acknowledged;
     /// Looks that wait for an end.
     std::vector<std::pair<std::string, RenewWorker>> waitingLooks;
 };
