configuration: a slow read is not restarted by heartbeats; other daemons hand on what the store does not deliver

Cause: every heartbeat of a daemon with newer settings dropped the call under way and read the settings anew. A daemon that restarted while the store turned it away had no configuration at all and answered 503.

Change: calls to the store run to their end. A daemon that has been behind another for 600 ms asks that daemon for a copy. The watch and the copies stand in a module of their own.

--- /dev/null
+++ b/core/dispatch/configuration_watch.cpp
@@ -0,0 +1,114 @@
+#include "core/dispatch/configuration_watch.h"
+
+#include "core/dispatch/node.h"
+#include "core/log.h"
+
+#include <algorithm>
+
+namespace wigeonkeel::dispatch
+{
+
+namespace
+{
+
+constexpr std::string_view logPart = "configuration";
+/// A watch is held back this long: a connection that went silent is noticed within this and the call's slack.
+constexpr milliseconds watchWait{1300};
+constexpr milliseconds readRetry{200};
+/// Another daemon has newer settings for this long before it is asked for them. A large configuration takes about half
+/// of this over the smallest links; with the transfer it stays below the 2 s within which a change has to be in force.
+constexpr milliseconds storePatience{600};
+/// An answer to a request for a copy is expected within this.
+constexpr milliseconds requestInterval{800};
+
+/// A stale reply never takes settings back.
+void adopt(Node &node, const Configuration &configuration, std::string_view source, Now now)
+{
+    if (node.hasConfiguration && configuration.version <= node.configuration.version) {
+        return;
+    }
+    logLine(LogLevel::Info, logPart, "Configuration in force. version={} before={} queues={} source={}",
+        configuration.version, node.configuration.version, configuration.queues.size(), source);
+    node.configuration = configuration;
+    indexQueues(node.configuration);
+    node.hasConfiguration = true;
+    if (node.dispatcher) {
+        setConfiguration(*node.dispatcher, node.configuration);
+    }
+    // The others learn of the version at once.
+    node.nextPresence = now.monotonic;
+}
+
+} // namespace
+
+void tickConfiguration(Node &node, Now now)
+{
+    ConfigWatch &watch = node.configWatch;
+    if (watch.callOpen || now.monotonic < watch.nextCall) {
+        return;
+    }
+    watch.callOpen = true;
+    watch.call = node.outbox.newCall();
+    if (watch.revision == 0) {
+        node.outbox.add(ReadConfiguration{.call = watch.call});
+    } else {
+        node.outbox.add(WatchConfiguration{.call = watch.call, .after = watch.revision, .wait = watchWait});
+    }
+}
+
+void takeConfiguration(Node &node, const ConfigurationReply &reply, Now now)
+{
+    ConfigWatch &watch = node.configWatch;
+    if (reply.call != watch.call) {
+        return;
+    }
+    watch.callOpen = false;
+    if (reply.status != CallStatus::Ok) {
+        // History that is gone, or a connection that failed: the whole is read again.
+        watch.revision = 0;
+        watch.nextCall = now.monotonic + readRetry;
+        return;
+    }
+    watch.revision = std::max(watch.revision, reply.revision);
+    watch.nextCall = now.monotonic;
+    if (reply.configuration) {
+        adopt(node, *reply.configuration, "store", now);
+    } else if (!node.hasConfiguration) {
+        watch.nextCall = now.monotonic + readRetry;
+    }
+}
+
+void noteConfigurationOf(Node &node, std::string_view other, std::uint64_t version, Now now)
+{
+    ConfigWatch &watch = node.configWatch;
+    if (version <= node.configuration.version) {
+        return;
+    }
+    if (watch.newerVersion <= node.configuration.version) {
+        watch.newerSince = now.monotonic;
+    }
+    watch.newerVersion = std::max(watch.newerVersion, version);
+    if (now.monotonic - watch.newerSince < storePatience || now.monotonic < watch.nextRequest) {
+        return;
+    }
+    watch.nextRequest = now.monotonic + requestInterval;
+    logLine(LogLevel::Info, logPart, "Another daemon is asked for its configuration. node={} version={} own={}", other,
+        version, node.configuration.version);
+    node.outbox.add(
+        SendToNode{.node = std::string(other), .body = ConfigurationRequest{.newerThan = node.configuration.version}});
+}
+
+void sendConfiguration(Node &node, std::string_view to, const ConfigurationRequest &request)
+{
+    if (node.hasConfiguration && node.configuration.version > request.newerThan) {
+        node.outbox.add(
+            SendToNode{.node = std::string(to), .body = ConfigurationTransfer{.configuration = node.configuration}});
+    }
+}
+
+void takeConfigurationCopy(Node &node, std::string_view from, const ConfigurationTransfer &transfer, Now now)
+{
+    adopt(node, transfer.configuration, from, now);
+}
+
+} // namespace wigeonkeel::dispatch
--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -1,5 +1,6 @@
 #include "core/dispatch/node.h"
 
+#include "core/dispatch/configuration_watch.h"
 #include "core/dispatch/leadership.h"
 #include "core/log.h"
 
@@ -15,10 +16,6 @@
 
 constexpr std::string_view logPart = "node";
 constexpr std::string_view memberPrefix = "wk/node/";
-/// A watch is held back this long: a connection that went silent is noticed within this and the call's slack, below
-/// the 2 s in which a change has to be in force.
-constexpr milliseconds configWait{1300};
-constexpr milliseconds configRetry{200};
 /// Entries of daemons in the store live this long without a renewal.
 constexpr milliseconds memberLease{6000};
 constexpr milliseconds memberKeepInterval{2000};
@@ -119,21 +116,6 @@
     }
 }
 
-void tickConfig(Node &node, Now now)
-{
-    ConfigWatch &watch = node.configWatch;
-    if (watch.callOpen || now.monotonic < watch.nextCall) {
-        return;
-    }
-    watch.callOpen = true;
-    watch.call = node.outbox.newCall();
-    if (watch.revision == 0) {
-        node.outbox.add(ReadConfiguration{.call = watch.call});
-    } else {
-        node.outbox.add(WatchConfiguration{.call = watch.call, .after = watch.revision, .wait = configWait});
-    }
-}
-
 void tickMembership(Node &node, Now now)
 {
     Membership &membership = node.membership;
@@ -289,12 +271,7 @@
         }
     }
     followLeader(node, presence.leader, now);
-    if (presence.configVersion > node.configuration.version) {
-        // The other daemon has newer settings: this one's watch may hang on a silent connection.
-        node.configWatch.revision = 0;
-        node.configWatch.callOpen = false;
-        node.configWatch.nextCall = std::min(node.configWatch.nextCall, now.monotonic);
-    }
+    noteConfigurationOf(node, from, presence.configVersion, now);
 }
 
 void takeForwarded(Node &node, std::string_view from, const ForwardedCall &forwarded, Now now)
@@ -333,39 +310,6 @@
     return node.dispatcher != nullptr && node.leadership.phase == ClaimPhase::Leading;
 }
 
-void takeConfiguration(Node &node, const ConfigurationReply &reply, Now now)
-{
-    ConfigWatch &watch = node.configWatch;
-    if (reply.call != watch.call) {
-        return;
-    }
-    watch.callOpen = false;
-    if (reply.status != CallStatus::Ok) {
-        // History that is gone, or a connection that failed: the whole is read again.
-        watch.revision = 0;
-        watch.nextCall = now.monotonic + configRetry;
-        return;
-    }
-    watch.revision = std::max(watch.revision, reply.revision);
-    watch.nextCall = now.monotonic;
-    if (!reply.configuration) {
-        watch.nextCall = node.hasConfiguration ? now.monotonic : now.monotonic + configRetry;
-        return;
-    }
-    // A stale reply never takes settings back.
-    if (node.hasConfiguration && reply.configuration->version <= node.configuration.version) {
-        return;
-    }
-    logLine(LogLevel::Info, logPart, "Configuration in force. version={} before={} queues={} revision={}",
-        reply.configuration->version, node.configuration.version, reply.configuration->queues.size(), reply.revision);
-    node.configuration = *reply.configuration;
-    node.hasConfiguration = true;
-    if (node.dispatcher) {
-        setConfiguration(*node.dispatcher, node.configuration);
-    }
-    node.nextPresence = now.monotonic;
-}
-
 void takeStoreReply(Node &node, const StoreReply &reply, Now now)
 {
     const auto found = node.storeCalls.find(reply.call);
@@ -456,6 +400,10 @@
         takeAdviceOrder(node, from, *order);
     } else if (const auto *result = std::get_if<AdviceResult>(&body)) {
         takeAdviceReply(node, result->reply, now);
+    } else if (const auto *request = std::get_if<ConfigurationRequest>(&body)) {
+        sendConfiguration(node, from, *request);
+    } else if (const auto *transfer = std::get_if<ConfigurationTransfer>(&body)) {
+        takeConfigurationCopy(node, from, *transfer, now);
     }
 }
 
@@ -500,7 +448,7 @@
 
 void tick(Node &node, Now now)
 {
-    tickConfig(node, now);
+    tickConfiguration(node, now);
     tickMembership(node, now);
     tickLeadership(node, now);
     tickWorkers(node, now);
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -120,6 +120,10 @@
     bool callOpen = false;
     CallId call = 0;
     MonotonicTime nextCall{};
+    /// Newest version that another daemon has shown, and since when it is newer than this daemon's own.
+    std::uint64_t newerVersion = 0;
+    MonotonicTime newerSince{};
+    MonotonicTime nextRequest{};
 };
 
 /// A client's call that this daemon took.
--- a/core/dispatch/peer_messages.h
+++ b/core/dispatch/peer_messages.h
@@ -52,7 +52,20 @@
     AdviceReply reply;
 };
 
-using PeerBody = std::variant<Presence, ForwardedCall, ForwardedAnswer, AdviceOrder, AdviceResult>;
+/// Asks a daemon for the operator's settings that it has.
+struct ConfigurationRequest
+{
+    std::uint64_t newerThan = 0;
+};
+
+/// The operator's settings, without their indexes.
+struct ConfigurationTransfer
+{
+    Configuration configuration;
+};
+
+using PeerBody = std::variant<Presence, ForwardedCall, ForwardedAnswer, AdviceOrder, AdviceResult, ConfigurationRequest,
+    ConfigurationTransfer>;
 
 /// Sends on the connection with the daemon of this name; dropped if there is none.
 struct SendToNode
--- a/drivers/cluster_protocol/cluster_codec.cpp
+++ b/drivers/cluster_protocol/cluster_codec.cpp
@@ -72,6 +72,44 @@
     return {wire::Body::AdviceResult, offset.Union()};
 }
 
+std::pair<wire::Body, flatbuffers::Offset<void>> build(Builder &builder, const ConfigurationRequest &request)
+{
+    return {wire::Body::ConfigurationRequest, wire::CreateConfigurationRequest(builder, request.newerThan).Union()};
+}
+
+flatbuffers::Offset<wire::Queue> buildQueue(Builder &builder, const QueueConfig &queue)
+{
+    flatbuffers::Offset<wire::Advice> advice;
+    if (queue.advice) {
+        advice = wire::CreateAdvice(
+            builder, queue.advice->base.count(), queue.advice->perWorker.count(), queue.advice->ticketValidity.count());
+    }
+    // Many queues share a host and a pool.
+    const auto host = builder.CreateSharedString(queue.host);
+    const auto pool = builder.CreateSharedString(queue.pool);
+    return wire::CreateQueue(builder, builder.CreateString(queue.name), host, builder.CreateString(queue.pathPrefix),
+        pool, queue.priority, queue.maxAttempts, queue.stretch, queue.target.count(), advice);
+}
+
+std::pair<wire::Body, flatbuffers::Offset<void>> build(Builder &builder, const ConfigurationTransfer &transfer)
+{
+    const Configuration &configuration = transfer.configuration;
+    std::vector<flatbuffers::Offset<wire::Queue>> queues;
+    for (const QueueConfig &queue : configuration.queues) {
+        queues.push_back(buildQueue(builder, queue));
+    }
+    std::vector<flatbuffers::Offset<wire::Pool>> pools;
+    for (const PoolConfig &pool : configuration.pools) {
+        pools.push_back(
+            wire::CreatePool(builder, builder.CreateString(pool.name), pool.workersGuardCapacity, pool.standby));
+    }
+    const ClientLimits &limits = configuration.limits;
+    const auto offset = wire::CreateConfigurationTransfer(builder, configuration.version, builder.CreateVector(queues),
+        builder.CreateVector(pools), limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout.count(),
+        limits.idleTimeout.count());
+    return {wire::Body::ConfigurationTransfer, offset.Union()};
+}
+
 PeerBody read(const wire::Presence &presence)
 {
     return Presence{.node = textOf(presence.node()),
@@ -132,6 +170,56 @@
     return AdviceResult{.reply = std::move(reply)};
 }
 
+PeerBody read(const wire::ConfigurationRequest &request)
+{
+    return ConfigurationRequest{.newerThan = request.newer_than()};
+}
+
+QueueConfig readQueue(const wire::Queue &queue)
+{
+    QueueConfig result{.name = textOf(queue.name()),
+        .host = textOf(queue.host()),
+        .pathPrefix = textOf(queue.prefix()),
+        .pool = textOf(queue.pool()),
+        .priority = queue.priority(),
+        .maxAttempts = queue.max_attempts(),
+        .stretch = queue.stretch(),
+        .target = milliseconds(queue.target_ms()),
+        .advice = {}};
+    if (queue.advice() != nullptr) {
+        result.advice = {.base = std::chrono::microseconds(queue.advice()->base_us()),
+            .perWorker = std::chrono::microseconds(queue.advice()->per_worker_us()),
+            .ticketValidity = milliseconds(queue.advice()->validity_ms())};
+    }
+    return result;
+}
+
+PeerBody read(const wire::ConfigurationTransfer &transfer)
+{
+    Configuration configuration{.version = transfer.version(),
+        .queues = {},
+        .pools = {},
+        .limits = {.maxHeaderBytes = transfer.max_header_bytes(),
+            .maxBodyBytes = transfer.max_body_bytes(),
+            .headerTimeout = milliseconds(transfer.header_timeout_ms()),
+            .idleTimeout = milliseconds(transfer.idle_timeout_ms())},
+        .byName = {},
+        .byHost = {}};
+    if (transfer.queues() != nullptr) {
+        for (const auto *queue : *transfer.queues()) {
+            configuration.queues.push_back(readQueue(*queue));
+        }
+    }
+    if (transfer.pools() != nullptr) {
+        for (const auto *pool : *transfer.pools()) {
+            configuration.pools.push_back({.name = textOf(pool->name()),
+                .workersGuardCapacity = pool->guards_capacity(),
+                .standby = pool->standby()});
+        }
+    }
+    return ConfigurationTransfer{.configuration = std::move(configuration)};
+}
+
 } // namespace
 
 std::string encodePeerBody(const PeerBody &body)
@@ -164,6 +252,10 @@
         return read(*envelope->body_as_AdviceOrder());
     case wire::Body::AdviceResult:
         return read(*envelope->body_as_AdviceResult());
+    case wire::Body::ConfigurationRequest:
+        return read(*envelope->body_as_ConfigurationRequest());
+    case wire::Body::ConfigurationTransfer:
+        return read(*envelope->body_as_ConfigurationTransfer());
     default:
         return std::nullopt;
     }
--- a/drivers/cluster_protocol/cluster_generated.h
+++ b/drivers/cluster_protocol/cluster_generated.h
@@ -35,6 +35,21 @@
 struct AdviceResult;
 struct AdviceResultBuilder;
 
+struct ConfigurationRequest;
+struct ConfigurationRequestBuilder;
+
+struct Advice;
+struct AdviceBuilder;
+
+struct Queue;
+struct QueueBuilder;
+
+struct Pool;
+struct PoolBuilder;
+
+struct ConfigurationTransfer;
+struct ConfigurationTransferBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -45,37 +60,43 @@
   Answer = 3,
   AdviceOrder = 4,
   AdviceResult = 5,
+  ConfigurationRequest = 6,
+  ConfigurationTransfer = 7,
   MIN = NONE,
-  MAX = AdviceResult
+  MAX = ConfigurationTransfer
 };
 
-inline const Body (&EnumValuesBody())[6] {
+inline const Body (&EnumValuesBody())[8] {
   static const Body values[] = {
     Body::NONE,
     Body::Presence,
     Body::Call,
     Body::Answer,
     Body::AdviceOrder,
-    Body::AdviceResult
+    Body::AdviceResult,
+    Body::ConfigurationRequest,
+    Body::ConfigurationTransfer
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[7] = {
+  static const char * const names[9] = {
     "NONE",
     "Presence",
     "Call",
     "Answer",
     "AdviceOrder",
     "AdviceResult",
+    "ConfigurationRequest",
+    "ConfigurationTransfer",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::AdviceResult)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ConfigurationTransfer)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -104,6 +125,14 @@
   static const Body enum_value = Body::AdviceResult;
 };
 
+template<> struct BodyTraits<wigeonkeel::cluster_wire::ConfigurationRequest> {
+  static const Body enum_value = Body::ConfigurationRequest;
+};
+
+template<> struct BodyTraits<wigeonkeel::cluster_wire::ConfigurationTransfer> {
+  static const Body enum_value = Body::ConfigurationTransfer;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -681,6 +710,464 @@
       validity_ms);
 }
 
+struct ConfigurationRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ConfigurationRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NEWER_THAN = 4
+  };
+  uint64_t newer_than() const {
+    return GetField<uint64_t>(VT_NEWER_THAN, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NEWER_THAN, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct ConfigurationRequestBuilder {
+  typedef ConfigurationRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_newer_than(uint64_t newer_than) {
+    fbb_.AddElement<uint64_t>(ConfigurationRequest::VT_NEWER_THAN, newer_than, 0);
+  }
+  explicit ConfigurationRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ConfigurationRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ConfigurationRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ConfigurationRequest> CreateConfigurationRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t newer_than = 0) {
+  ConfigurationRequestBuilder builder_(_fbb);
+  builder_.add_newer_than(newer_than);
+  return builder_.Finish();
+}
+
+struct Advice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AdviceBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BASE_US = 4,
+    VT_PER_WORKER_US = 6,
+    VT_VALIDITY_MS = 8
+  };
+  int64_t base_us() const {
+    return GetField<int64_t>(VT_BASE_US, 0);
+  }
+  int64_t per_worker_us() const {
+    return GetField<int64_t>(VT_PER_WORKER_US, 0);
+  }
+  int64_t validity_ms() const {
+    return GetField<int64_t>(VT_VALIDITY_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int64_t>(verifier, VT_BASE_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_PER_WORKER_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_VALIDITY_MS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct AdviceBuilder {
+  typedef Advice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_base_us(int64_t base_us) {
+    fbb_.AddElement<int64_t>(Advice::VT_BASE_US, base_us, 0);
+  }
+  void add_per_worker_us(int64_t per_worker_us) {
+    fbb_.AddElement<int64_t>(Advice::VT_PER_WORKER_US, per_worker_us, 0);
+  }
+  void add_validity_ms(int64_t validity_ms) {
+    fbb_.AddElement<int64_t>(Advice::VT_VALIDITY_MS, validity_ms, 0);
+  }
+  explicit AdviceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Advice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Advice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Advice> CreateAdvice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t base_us = 0,
+    int64_t per_worker_us = 0,
+    int64_t validity_ms = 0) {
+  AdviceBuilder builder_(_fbb);
+  builder_.add_validity_ms(validity_ms);
+  builder_.add_per_worker_us(per_worker_us);
+  builder_.add_base_us(base_us);
+  return builder_.Finish();
+}
+
+struct Queue FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QueueBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_HOST = 6,
+    VT_PREFIX = 8,
+    VT_POOL = 10,
+    VT_PRIORITY = 12,
+    VT_MAX_ATTEMPTS = 14,
+    VT_STRETCH = 16,
+    VT_TARGET_MS = 18,
+    VT_ADVICE = 20
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  }
+  const flatbuffers::String *prefix() const {
+    return GetPointer<const flatbuffers::String *>(VT_PREFIX);
+  }
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  uint32_t priority() const {
+    return GetField<uint32_t>(VT_PRIORITY, 0);
+  }
+  uint32_t max_attempts() const {
+    return GetField<uint32_t>(VT_MAX_ATTEMPTS, 0);
+  }
+  double stretch() const {
+    return GetField<double>(VT_STRETCH, 0.0);
+  }
+  int64_t target_ms() const {
+    return GetField<int64_t>(VT_TARGET_MS, 0);
+  }
+  const wigeonkeel::cluster_wire::Advice *advice() const {
+    return GetPointer<const wigeonkeel::cluster_wire::Advice *>(VT_ADVICE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyOffset(verifier, VT_PREFIX) &&
+           verifier.VerifyString(prefix()) &&
+           VerifyOffset(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<uint32_t>(verifier, VT_MAX_ATTEMPTS, 4) &&
+           VerifyField<double>(verifier, VT_STRETCH, 8) &&
+           VerifyField<int64_t>(verifier, VT_TARGET_MS, 8) &&
+           VerifyOffset(verifier, VT_ADVICE) &&
+           verifier.VerifyTable(advice()) &&
+           verifier.EndTable();
+  }
+};
+
+struct QueueBuilder {
+  typedef Queue Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(Queue::VT_NAME, name);
+  }
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(Queue::VT_HOST, host);
+  }
+  void add_prefix(flatbuffers::Offset<flatbuffers::String> prefix) {
+    fbb_.AddOffset(Queue::VT_PREFIX, prefix);
+  }
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(Queue::VT_POOL, pool);
+  }
+  void add_priority(uint32_t priority) {
+    fbb_.AddElement<uint32_t>(Queue::VT_PRIORITY, priority, 0);
+  }
+  void add_max_attempts(uint32_t max_attempts) {
+    fbb_.AddElement<uint32_t>(Queue::VT_MAX_ATTEMPTS, max_attempts, 0);
+  }
+  void add_stretch(double stretch) {
+    fbb_.AddElement<double>(Queue::VT_STRETCH, stretch, 0.0);
+  }
+  void add_target_ms(int64_t target_ms) {
+    fbb_.AddElement<int64_t>(Queue::VT_TARGET_MS, target_ms, 0);
+  }
+  void add_advice(flatbuffers::Offset<wigeonkeel::cluster_wire::Advice> advice) {
+    fbb_.AddOffset(Queue::VT_ADVICE, advice);
+  }
+  explicit QueueBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Queue> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Queue>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Queue> CreateQueue(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    flatbuffers::Offset<flatbuffers::String> prefix = 0,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    uint32_t priority = 0,
+    uint32_t max_attempts = 0,
+    double stretch = 0.0,
+    int64_t target_ms = 0,
+    flatbuffers::Offset<wigeonkeel::cluster_wire::Advice> advice = 0) {
+  QueueBuilder builder_(_fbb);
+  builder_.add_target_ms(target_ms);
+  builder_.add_stretch(stretch);
+  builder_.add_advice(advice);
+  builder_.add_max_attempts(max_attempts);
+  builder_.add_priority(priority);
+  builder_.add_pool(pool);
+  builder_.add_prefix(prefix);
+  builder_.add_host(host);
+  builder_.add_name(name);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Queue> CreateQueueDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    const char *host = nullptr,
+    const char *prefix = nullptr,
+    const char *pool = nullptr,
+    uint32_t priority = 0,
+    uint32_t max_attempts = 0,
+    double stretch = 0.0,
+    int64_t target_ms = 0,
+    flatbuffers::Offset<wigeonkeel::cluster_wire::Advice> advice = 0) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto prefix__ = prefix ? _fbb.CreateString(prefix) : 0;
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  return wigeonkeel::cluster_wire::CreateQueue(
+      _fbb,
+      name__,
+      host__,
+      prefix__,
+      pool__,
+      priority,
+      max_attempts,
+      stretch,
+      target_ms,
+      advice);
+}
+
+struct Pool FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PoolBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_GUARDS_CAPACITY = 6,
+    VT_STANDBY = 8
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  bool guards_capacity() const {
+    return GetField<uint8_t>(VT_GUARDS_CAPACITY, 0) != 0;
+  }
+  bool standby() const {
+    return GetField<uint8_t>(VT_STANDBY, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyField<uint8_t>(verifier, VT_GUARDS_CAPACITY, 1) &&
+           VerifyField<uint8_t>(verifier, VT_STANDBY, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct PoolBuilder {
+  typedef Pool Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(Pool::VT_NAME, name);
+  }
+  void add_guards_capacity(bool guards_capacity) {
+    fbb_.AddElement<uint8_t>(Pool::VT_GUARDS_CAPACITY, static_cast<uint8_t>(guards_capacity), 0);
+  }
+  void add_standby(bool standby) {
+    fbb_.AddElement<uint8_t>(Pool::VT_STANDBY, static_cast<uint8_t>(standby), 0);
+  }
+  explicit PoolBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Pool> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Pool>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Pool> CreatePool(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    bool guards_capacity = false,
+    bool standby = false) {
+  PoolBuilder builder_(_fbb);
+  builder_.add_name(name);
+  builder_.add_standby(standby);
+  builder_.add_guards_capacity(guards_capacity);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Pool> CreatePoolDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    bool guards_capacity = false,
+    bool standby = false) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  return wigeonkeel::cluster_wire::CreatePool(
+      _fbb,
+      name__,
+      guards_capacity,
+      standby);
+}
+
+struct ConfigurationTransfer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ConfigurationTransferBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4,
+    VT_QUEUES = 6,
+    VT_POOLS = 8,
+    VT_MAX_HEADER_BYTES = 10,
+    VT_MAX_BODY_BYTES = 12,
+    VT_HEADER_TIMEOUT_MS = 14,
+    VT_IDLE_TIMEOUT_MS = 16
+  };
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<wigeonkeel::cluster_wire::Queue>> *queues() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<wigeonkeel::cluster_wire::Queue>> *>(VT_QUEUES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<wigeonkeel::cluster_wire::Pool>> *pools() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<wigeonkeel::cluster_wire::Pool>> *>(VT_POOLS);
+  }
+  uint64_t max_header_bytes() const {
+    return GetField<uint64_t>(VT_MAX_HEADER_BYTES, 0);
+  }
+  uint64_t max_body_bytes() const {
+    return GetField<uint64_t>(VT_MAX_BODY_BYTES, 0);
+  }
+  int64_t header_timeout_ms() const {
+    return GetField<int64_t>(VT_HEADER_TIMEOUT_MS, 0);
+  }
+  int64_t idle_timeout_ms() const {
+    return GetField<int64_t>(VT_IDLE_TIMEOUT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_QUEUES) &&
+           verifier.VerifyVector(queues()) &&
+           verifier.VerifyVectorOfTables(queues()) &&
+           VerifyOffset(verifier, VT_POOLS) &&
+           verifier.VerifyVector(pools()) &&
+           verifier.VerifyVectorOfTables(pools()) &&
+           VerifyField<uint64_t>(verifier, VT_MAX_HEADER_BYTES, 8) &&
+           VerifyField<uint64_t>(verifier, VT_MAX_BODY_BYTES, 8) &&
+           VerifyField<int64_t>(verifier, VT_HEADER_TIMEOUT_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_IDLE_TIMEOUT_MS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct ConfigurationTransferBuilder {
+  typedef ConfigurationTransfer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(ConfigurationTransfer::VT_VERSION, version, 0);
+  }
+  void add_queues(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<wigeonkeel::cluster_wire::Queue>>> queues) {
+    fbb_.AddOffset(ConfigurationTransfer::VT_QUEUES, queues);
+  }
+  void add_pools(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<wigeonkeel::cluster_wire::Pool>>> pools) {
+    fbb_.AddOffset(ConfigurationTransfer::VT_POOLS, pools);
+  }
+  void add_max_header_bytes(uint64_t max_header_bytes) {
+    fbb_.AddElement<uint64_t>(ConfigurationTransfer::VT_MAX_HEADER_BYTES, max_header_bytes, 0);
+  }
+  void add_max_body_bytes(uint64_t max_body_bytes) {
+    fbb_.AddElement<uint64_t>(ConfigurationTransfer::VT_MAX_BODY_BYTES, max_body_bytes, 0);
+  }
+  void add_header_timeout_ms(int64_t header_timeout_ms) {
+    fbb_.AddElement<int64_t>(ConfigurationTransfer::VT_HEADER_TIMEOUT_MS, header_timeout_ms, 0);
+  }
+  void add_idle_timeout_ms(int64_t idle_timeout_ms) {
+    fbb_.AddElement<int64_t>(ConfigurationTransfer::VT_IDLE_TIMEOUT_MS, idle_timeout_ms, 0);
+  }
+  explicit ConfigurationTransferBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ConfigurationTransfer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ConfigurationTransfer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ConfigurationTransfer> CreateConfigurationTransfer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<wigeonkeel::cluster_wire::Queue>>> queues = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<wigeonkeel::cluster_wire::Pool>>> pools = 0,
+    uint64_t max_header_bytes = 0,
+    uint64_t max_body_bytes = 0,
+    int64_t header_timeout_ms = 0,
+    int64_t idle_timeout_ms = 0) {
+  ConfigurationTransferBuilder builder_(_fbb);
+  builder_.add_idle_timeout_ms(idle_timeout_ms);
+  builder_.add_header_timeout_ms(header_timeout_ms);
+  builder_.add_max_body_bytes(max_body_bytes);
+  builder_.add_max_header_bytes(max_header_bytes);
+  builder_.add_version(version);
+  builder_.add_pools(pools);
+  builder_.add_queues(queues);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ConfigurationTransfer> CreateConfigurationTransferDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    const std::vector<flatbuffers::Offset<wigeonkeel::cluster_wire::Queue>> *queues = nullptr,
+    const std::vector<flatbuffers::Offset<wigeonkeel::cluster_wire::Pool>> *pools = nullptr,
+    uint64_t max_header_bytes = 0,
+    uint64_t max_body_bytes = 0,
+    int64_t header_timeout_ms = 0,
+    int64_t idle_timeout_ms = 0) {
+  auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<wigeonkeel::cluster_wire::Queue>>(*queues) : 0;
+  auto pools__ = pools ? _fbb.CreateVector<flatbuffers::Offset<wigeonkeel::cluster_wire::Pool>>(*pools) : 0;
+  return wigeonkeel::cluster_wire::CreateConfigurationTransfer(
+      _fbb,
+      version,
+      queues__,
+      pools__,
+      max_header_bytes,
+      max_body_bytes,
+      header_timeout_ms,
+      idle_timeout_ms);
+}
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -709,6 +1196,12 @@
   const wigeonkeel::cluster_wire::AdviceResult *body_as_AdviceResult() const {
     return body_type() == wigeonkeel::cluster_wire::Body::AdviceResult ? static_cast<const wigeonkeel::cluster_wire::AdviceResult *>(body()) : nullptr;
   }
+  const wigeonkeel::cluster_wire::ConfigurationRequest *body_as_ConfigurationRequest() const {
+    return body_type() == wigeonkeel::cluster_wire::Body::ConfigurationRequest ? static_cast<const wigeonkeel::cluster_wire::ConfigurationRequest *>(body()) : nullptr;
+  }
+  const wigeonkeel::cluster_wire::ConfigurationTransfer *body_as_ConfigurationTransfer() const {
+    return body_type() == wigeonkeel::cluster_wire::Body::ConfigurationTransfer ? static_cast<const wigeonkeel::cluster_wire::ConfigurationTransfer *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -738,6 +1231,14 @@
   return body_as_AdviceResult();
 }
 
+template<> inline const wigeonkeel::cluster_wire::ConfigurationRequest *Envelope::body_as<wigeonkeel::cluster_wire::ConfigurationRequest>() const {
+  return body_as_ConfigurationRequest();
+}
+
+template<> inline const wigeonkeel::cluster_wire::ConfigurationTransfer *Envelope::body_as<wigeonkeel::cluster_wire::ConfigurationTransfer>() const {
+  return body_as_ConfigurationTransfer();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -795,6 +1296,14 @@
       auto ptr = reinterpret_cast<const wigeonkeel::cluster_wire::AdviceResult *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::ConfigurationRequest: {
+      auto ptr = reinterpret_cast<const wigeonkeel::cluster_wire::ConfigurationRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::ConfigurationTransfer: {
+      auto ptr = reinterpret_cast<const wigeonkeel::cluster_wire::ConfigurationTransfer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds adviceValidity{1500};
 /// A question's timeout is the expected time and this.
 constexpr milliseconds adviceSlack{500};
+/// What a large configuration takes over the link of a small VM.
+constexpr milliseconds slowTransfer{900};
 
 Resources plusAll(std::span<const WorldRun> runs)
 {
@@ -494,19 +496,26 @@
     } else if (const auto *end = std::get_if<StoreEndLease>(&action)) {
         store.leases[end->lease].first = time;
     } else if (const auto *read = std::get_if<ReadConfiguration>(&action)) {
-        reply(node,
-            [result = ConfigurationReply{.call = read->call,
-                 .status = CallStatus::Ok,
-                 .configuration = configuration,
-                 .revision = store.revision}](Node &owner, Now at) { takeConfiguration(owner, result, at); });
+        ++store.configurationReads;
+        after(store.slowLinks.contains(node) ? slowTransfer : milliseconds(0), [this, node, id = read->call] {
+            ConfigurationReply result{.call = id, .status = CallStatus::Refused, .configuration = {}};
+            if (!isRefused(node)) {
+                result = {
+                    .call = id, .status = CallStatus::Ok, .configuration = configuration, .revision = store.revision};
+            }
+            reply(node, [result](Node &owner, Now at) { takeConfiguration(owner, result, at); });
+        });
     } else if (const auto *watch = std::get_if<WatchConfiguration>(&action)) {
-        const CallId id = watch->call;
-        after(watch->wait, [this, node, id] {
-            reply(node,
-                [result = ConfigurationReply{.call = id,
-                     .status = CallStatus::Ok,
-                     .configuration = {},
-                     .revision = store.revision}](Node &owner, Now at) { takeConfiguration(owner, result, at); });
+        const milliseconds transfer = store.slowLinks.contains(node) ? slowTransfer : milliseconds(0);
+        after(watch->wait + transfer, [this, node, id = watch->call] {
+            ConfigurationReply result{.call = id, .status = CallStatus::Refused, .configuration = {}};
+            if (!isRefused(node)) {
+                result.status = CallStatus::Ok;
+                result.revision = store.revision;
+                const bool changed = nodes[node].up && configuration.version > nodes[node].node->configuration.version;
+                result.configuration = changed ? std::optional(configuration) : std::nullopt;
+            }
+            reply(node, [result](Node &owner, Now at) { takeConfiguration(owner, result, at); });
         });
     } else if (const auto *directory = std::get_if<ReadWorkers>(&action)) {
         storeReply([this, node, id = directory->call] {
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -69,6 +69,9 @@
     /// Share of transactions that are done and not answered, in percent.
     std::uint64_t lostAnswers = 0;
     std::size_t calls = 0;
+    /// Daemons whose links need long for the configuration.
+    std::set<std::size_t> slowLinks;
+    std::size_t configurationReads = 0;
 };
 
 /// One daemon of the world.
--- a/tests/platform/cluster_codec_test.cpp
+++ b/tests/platform/cluster_codec_test.cpp
@@ -35,6 +35,40 @@
     CHECK(advice.has_value() && std::get<AdviceResult>(*advice).reply.allowed.at(0).ticket == "t");
 }
 
+// Guards against settings that change on their way from one daemon to another.
+TEST(ClusterCodec, AConfigurationComesBackAsItWas)
+{
+    Configuration configuration{.version = 9,
+        .queues = {{.name = "a",
+                       .host = "h",
+                       .pathPrefix = "/a/",
+                       .pool = "p",
+                       .priority = 2,
+                       .maxAttempts = 3,
+                       .stretch = 1.5,
+                       .target = milliseconds(70),
+                       .advice = AdviceTimes{.base = std::chrono::microseconds(11500),
+                           .perWorker = std::chrono::microseconds(160),
+                           .ticketValidity = milliseconds(2000)}},
+            {.name = "b", .host = "h", .pathPrefix = "/b/", .pool = "p"}},
+        .pools = {{.name = "p", .workersGuardCapacity = true, .standby = true}},
+        .limits
+        = {.maxHeaderBytes = 1, .maxBodyBytes = 2, .headerTimeout = milliseconds(3), .idleTimeout = milliseconds(4)}};
+    const auto body = roundTrip(ConfigurationTransfer{.configuration = configuration});
+    CHECK(body.has_value());
+    const Configuration &decoded = std::get<ConfigurationTransfer>(*body).configuration;
+    CHECK(decoded.version == 9 && decoded.queues.size() == 2 && decoded.pools.size() == 1);
+    const QueueConfig &first = decoded.queues[0];
+    CHECK(first.name == "a" && first.host == "h" && first.pathPrefix == "/a/" && first.pool == "p");
+    CHECK(first.priority == 2 && first.maxAttempts == 3 && first.target == milliseconds(70));
+    DOUBLES_EQUAL(1.5, first.stretch, 0.0);
+    CHECK(first.advice->base.count() == 11500 && first.advice->perWorker.count() == 160);
+    CHECK(first.advice->ticketValidity == milliseconds(2000));
+    CHECK_FALSE(decoded.queues[1].advice.has_value());
+    CHECK(decoded.pools[0].workersGuardCapacity && decoded.pools[0].standby);
+    CHECK(decoded.limits.maxBodyBytes == 2 && decoded.limits.idleTimeout == milliseconds(4));
+}
+
 // Guards against a daemon that reads past the end of a cut or foreign frame.
 TEST(ClusterCodec, CutFramesAreRefused)
 {
