dispatch: short deadlines are served; calls that hang since an outage are repeated at its end

After a silent outage the commit streams waited up to 1.5 s for calls that were sent during it, and new jobs were refused meanwhile.

Change: the margin is at most a quarter of the time that the client had. The first answer to the claim's renewal after an outage lets all streams repeat what hangs; the chain's condition lets only one try take effect.

--- a/core/dispatch/commit_streams.cpp
+++ b/core/dispatch/commit_streams.cpp
@@ -210,6 +210,22 @@
     return CommitResult::Retry;
 }
 
+void retryAfterOutage(CommitQueue &queue, MonotonicTime now)
+{
+    for (CommitStream &stream : queue.streams) {
+        if (stream.call != 0 && now - stream.sentAt > shortestTimeout) {
+            // It may still be carried out; the chain's condition lets only one of the tries take effect.
+            stream.call = 0;
+            stream.uncertain = true;
+        }
+        if (stream.call == 0) {
+            stream.retryAt = std::min(stream.retryAt, now);
+            stream.failures = 0;
+            stream.timeouts = 0;
+        }
+    }
+}
+
 std::vector<CommitTag> takeUnsentAcceptances(CommitQueue &queue)
 {
     std::vector<CommitTag> taken;
--- a/core/dispatch/commit_streams.h
+++ b/core/dispatch/commit_streams.h
@@ -105,6 +105,10 @@
 /// Takes back the acceptances that surely have not reached the store; they may be refused.
 std::vector<CommitTag> takeUnsentAcceptances(CommitQueue &queue);
 
+/// The store answers again after an outage: calls that hang since then are repeated now. Pattern: the end of a silent
+/// outage, whose last calls would be waited for longest.
+void retryAfterOutage(CommitQueue &queue, MonotonicTime now);
+
 void noteStoreAnswer(StoreHealth &health, milliseconds latency);
 void noteStoreFailure(StoreHealth &health, MonotonicTime now);
 
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds claimLease{1500};
 constexpr milliseconds keepInterval{450};
 constexpr milliseconds keepRetry{150};
+/// Failures of the store that last this long are an outage, not an answer that was lost.
+constexpr milliseconds outageTime{500};
 /// Three renewals without an answer fit into the claim's life.
 constexpr milliseconds keepTimeout{300};
 /// Followers look for the claim at this interval; at the longer one while the leader is heard.
@@ -330,6 +332,10 @@
         return;
     }
     StoreHealth &health = node.dispatcher->commits.health;
+    const bool answered = reply.status == CallStatus::Ok || reply.status == CallStatus::NotFound;
+    if (answered && health.failing && now.monotonic - health.failingSince > outageTime) {
+        retryAfterOutage(node.dispatcher->commits, now.monotonic);
+    }
     if (reply.status == CallStatus::Ok) {
         // While a transaction is tried again, its own answer tells whether the store is back.
         const bool retrying = std::ranges::any_of(
--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -38,8 +38,10 @@
 /// A call that no leader could be given is refused after this: a takeover takes less than a second.
 constexpr milliseconds leaderPatience{1100};
 constexpr milliseconds noLeaderRetryAfter{1000};
-/// The answer leaves this long before the client gives up.
+/// The answer leaves this long before the client gives up; earlier by a part of the time that is left, if that is
+/// short: the last try of a client may have a tenth of a second, which is enough for an acceptance.
 constexpr milliseconds answerMargin{150};
+constexpr int shortTimePart = 4;
 /// Without word from the leader for this long, the daemon is not ready for new connections.
 constexpr milliseconds readyWithoutLeader{3000};
 
@@ -94,7 +96,9 @@
 {
     std::vector<ClientAnswer> expired;
     for (const auto &[call, entry] : node.entries) {
-        const bool late = now.monotonic >= entry.deadline - answerMargin;
+        const auto margin
+            = std::min<MonotonicTime::duration>(answerMargin, (entry.deadline - entry.takenAt) / shortTimePart);
+        const bool late = now.monotonic >= entry.deadline - margin;
         const bool leaderless = !entry.everSent && now.monotonic - entry.takenAt > leaderPatience;
         if (late && entry.everSent) {
             expired.push_back({.call = call, .outcome = ClientOutcome::Unknown});
--- a/tests/dispatch/dispatch_recovery_test.cpp
+++ b/tests/dispatch/dispatch_recovery_test.cpp
@@ -229,6 +229,37 @@
     CHECK(asked && asked->outcome == ClientOutcome::NoSuchJob);
 }
 
+// Guards against the last try of a client that is answered as unknown at once, because little time is left for it: an
+// unsafe request is not tried again after that.
+TEST(DispatchRecovery, AShortDeadlineIsStillServed)
+{
+    World world(3, 4);
+    world.run(settleTime);
+    const std::size_t at = otherThan(world.leaderIndex());
+    const CallId call = world.submit(at, 0x22, oneStep(1, 500, milliseconds(200)), "urgent", milliseconds(100));
+    world.run(milliseconds(100));
+    CHECK(isAccepted(world, call));
+}
+
+// Guards against calls that hang since an outage of the store and are waited for after its end, while new jobs are
+// refused.
+TEST(DispatchRecovery, JobsAreAcceptedSoonAfterASilentOutage)
+{
+    for (int length = 2000; length < 5000; length += 250) {
+        World world(3, 4);
+        world.run(settleTime);
+        world.submit(0, 0x1, oneStep(2, 500, milliseconds(300)), "urgent");
+        world.store.silent = true;
+        world.run(milliseconds(length));
+        world.store.silent = false;
+        // A probe that was sent before the end of the outage has to time out first.
+        world.run(milliseconds(500));
+        const CallId call = world.submit(1, 0x23, oneStep(1, 500, milliseconds(200)), "urgent");
+        world.run(milliseconds(150));
+        CHECK(isAccepted(world, call));
+    }
+}
+
 // Guards against a retry of a submission that becomes a second job, also after a change of leader and after the end.
 TEST(DispatchRecovery, ARetriedSubmissionStaysOneJob)
 {
--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds hop{2};
 constexpr milliseconds storeHop{4};
 constexpr milliseconds tickInterval{10};
+/// Of calls that get no answer.
+constexpr milliseconds callTimeout{700};
 constexpr milliseconds workStep{10};
 constexpr milliseconds stopTime{200};
 constexpr milliseconds adviceValidity{1500};
@@ -125,7 +127,9 @@
     }
     from.connected = false;
     const auto to = nodeAt(*from.dialled);
-    if (to && nodes[*to].up) {
+    // A daemon is lost with its last connection; the other may have dialled too.
+    const bool hasOther = to && nodes[*to].connected && nodes[*to].connectedTo == from.node->options.name;
+    if (to && nodes[*to].up && !hasOther) {
         nodeDisconnected(*nodes[*to].node, from.node->options.name, now());
     }
 }
@@ -440,13 +444,16 @@
 
 void World::carryOut(std::size_t node, const Action &action)
 {
-    const auto storeReply = [this, node](auto make) {
-        after(storeHop, [this, node, make, asked = nodes[node].node.get()] {
+    const auto storeReply = [this, node](auto make, milliseconds timeout) {
+        after(storeHop, [this, node, make, timeout, asked = nodes[node].node.get()] {
             ++store.calls;
-            if (!nodes[node].up || nodes[node].node.get() != asked) {
-                return;
-            }
-            reply(node, make());
+            const bool silent = store.silent;
+            after(silent ? timeout : milliseconds(0), [this, node, make, silent, asked] {
+                if (nodes[node].up && nodes[node].node.get() == asked) {
+                    const CallStatus answered = isRefused(node) ? CallStatus::Refused : CallStatus::Ok;
+                    reply(node, make(silent ? CallStatus::Unknown : answered));
+                }
+            });
         });
     };
     if (const auto *transaction = std::get_if<StoreTransaction>(&action)) {
@@ -454,9 +461,11 @@
         after(storeHop, [this, node, transaction = *transaction] {
             ++store.calls;
             StoreReply result{.call = transaction.call, .status = CallStatus::Refused, .items = {}};
-            if (!isRefused(node)) {
-                result = transact(transaction);
-                if (randomBelow(random, 100) < store.lostAnswers) {
+            if (store.silent || !isRefused(node)) {
+                if (!store.silent) {
+                    result = transact(transaction);
+                }
+                if (store.silent || randomBelow(random, 100) < store.lostAnswers) {
                     after(transaction.timeout, [this, node, id = transaction.call] {
                         reply(node, [id](Node &owner, Now at) {
                             takeStoreReply(owner, {.call = id, .status = CallStatus::Unknown, .items = {}}, at);
@@ -470,34 +479,33 @@
             }
         });
     } else if (const auto *asked = std::get_if<StoreRange>(&action)) {
-        storeReply([this, node, asked = *asked] {
+        const auto make = [this, asked = *asked](CallStatus status) {
             StoreReply result = range(asked);
-            result.status = isRefused(node) ? CallStatus::Refused : CallStatus::Ok;
+            result.status = status;
             return [result](Node &owner, Now at) { takeStoreReply(owner, result, at); };
-        });
+        };
+        storeReply(make, callTimeout);
     } else if (const auto *open = std::get_if<StoreOpenLease>(&action)) {
-        storeReply([this, node, open = *open] {
+        const auto make = [this, open = *open](CallStatus status) {
             const std::uint64_t lease = 1000 + ++m_order;
             store.leases[lease] = {time + open.timeToLive, open.timeToLive};
-            const StoreReply result{.call = open.call,
-                .status = isRefused(node) ? CallStatus::Refused : CallStatus::Ok,
-                .items = {},
-                .lease = lease,
-                .timeToLive = open.timeToLive};
+            const StoreReply result{
+                .call = open.call, .status = status, .items = {}, .lease = lease, .timeToLive = open.timeToLive};
             return [result](Node &owner, Now at) { takeStoreReply(owner, result, at); };
-        });
+        };
+        storeReply(make, callTimeout);
     } else if (const auto *keep = std::get_if<StoreKeepLease>(&action)) {
-        storeReply([this, node, keep = *keep] {
+        const auto make = [this, keep = *keep](CallStatus status) {
             const auto found = store.leases.find(keep.lease);
-            StoreReply result{.call = keep.call, .status = CallStatus::Refused, .items = {}};
-            if (!isRefused(node)) {
-                result.status = found == store.leases.end() ? CallStatus::NotFound : CallStatus::Ok;
-                if (found != store.leases.end()) {
-                    found->second.first = time + found->second.second;
-                }
+            StoreReply result{.call = keep.call, .status = status, .items = {}};
+            if (status == CallStatus::Ok && found == store.leases.end()) {
+                result.status = CallStatus::NotFound;
+            } else if (status == CallStatus::Ok) {
+                found->second.first = time + found->second.second;
             }
             return [result](Node &owner, Now at) { takeStoreReply(owner, result, at); };
-        });
+        };
+        storeReply(make, keep->timeout);
     } else if (const auto *end = std::get_if<StoreEndLease>(&action)) {
         store.leases[end->lease].first = time;
     } else if (const auto *read = std::get_if<ReadConfiguration>(&action)) {
@@ -523,16 +531,16 @@
             reply(node, [result](Node &owner, Now at) { takeConfiguration(owner, result, at); });
         });
     } else if (const auto *directory = std::get_if<ReadWorkers>(&action)) {
-        storeReply([this, node, id = directory->call] {
-            WorkersReply result{
-                .call = id, .status = isRefused(node) ? CallStatus::Refused : CallStatus::Ok, .workers = {}};
+        const auto make = [this, id = directory->call](CallStatus status) {
+            WorkersReply result{.call = id, .status = status, .workers = {}};
             for (const WorldWorker &worker : workers) {
                 if (worker.up && !worker.unlisted) {
                     result.workers.push_back(worker.entry);
                 }
             }
             return [result](Node &owner, Now at) { takeWorkers(owner, result, at); };
-        });
+        };
+        storeReply(make, callTimeout);
     } else if (const auto *started = std::get_if<StartRun>(&action)) {
         after(hop, [this, node, started = *started] {
             const WorldWorker &target = workers[workerIndex(started.worker.id)];
@@ -677,7 +685,7 @@
     return true;
 }
 
-CallId World::submit(std::size_t at, JobId id, const JobSpec &spec, std::string_view queue)
+CallId World::submit(std::size_t at, JobId id, const JobSpec &spec, std::string_view queue, milliseconds timeLeft)
 {
     Node &node = *nodes[at].node;
     const CallId call = node.outbox.newCall();
@@ -692,7 +700,7 @@
             .queue = std::string(queue),
             .job = id,
             .record = encodeJobRecord(record)},
-        milliseconds(3000), now());
+        timeLeft, now());
     return call;
 }
 
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -64,6 +64,8 @@
     std::map<std::uint64_t, std::pair<milliseconds, milliseconds>> leases;
     std::uint64_t revision = 1;
     bool down = false;
+    /// Calls get no answer.
+    bool silent = false;
     /// Daemons that the store turns away.
     std::set<std::size_t> refused;
     /// Share of transactions that are done and not answered, in percent.
@@ -98,7 +100,8 @@
     bool runUntil(const std::function<bool()> &condition, milliseconds limit);
 
     /// Hands a job in at a daemon and returns the call's id.
-    CallId submit(std::size_t at, JobId id, const JobSpec &spec, std::string_view queue);
+    CallId submit(std::size_t at, JobId id, const JobSpec &spec, std::string_view queue,
+        milliseconds timeLeft = milliseconds(3000));
     CallId call(std::size_t at, ClientCallKind kind, JobId id, std::string_view queue);
     std::optional<ClientAnswer> answerTo(CallId call) const;
     /// State of a job as the daemon's clients see it; asks and runs until the answer.
