--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -30,6 +30,15 @@
 constexpr milliseconds outageRetryAfter{1000};
 constexpr milliseconds overloadRetryAfter{2000};
 
+/// The claim's lease: within it no other daemon can have accepted a job.
+constexpr milliseconds claimTrust{1000};
+
+/// What is said of a job that this leader doesn't know.
+ClientOutcome outcomeOfUnknownJob(const Dispatcher &dispatcher, MonotonicTime now)
+{
+    return now - dispatcher.claimConfirmedAt < claimTrust ? ClientOutcome::NoSuchJob : ClientOutcome::Unknown;
+}
+
 bool storeIsAway(const Dispatcher &dispatcher, MonotonicTime now, milliseconds patience)
 {
     const StoreHealth &health = dispatcher.commits.health;
@@ -154,7 +163,7 @@
     }
     const Job *job = findJob(dispatcher.jobs, call.job);
     if (job == nullptr) {
-        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::NoSuchJob});
+        answer(dispatcher, {.call = call.call, .outcome = outcomeOfUnknownJob(dispatcher, now)});
         return;
     }
     answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok, .state = shownState(dispatcher, *job, now)});
@@ -168,7 +177,7 @@
     }
     Job *job = findJob(dispatcher.jobs, call.job);
     if (job == nullptr) {
-        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::NoSuchJob});
+        answer(dispatcher, {.call = call.call, .outcome = outcomeOfUnknownJob(dispatcher, now)});
         return;
     }
     logLine(LogLevel::Info, logPart, "Cancel. job={} queue={} accepted={}", formatJobId(call.job),
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -83,6 +83,9 @@
     /// Until then, or until every worker has answered, inherited jobs are not started: their runs may be anywhere.
     MonotonicTime inheritanceSettlesAt{};
     bool inheritanceSettled = true;
+    /// The store confirmed the claim; without that for a while another daemon may lead and know jobs that this one
+    /// doesn't.
+    MonotonicTime claimConfirmedAt{};
     /// All records of ended jobs were read, so that an unknown id is surely new.
     bool endsLoaded = false;
     /// Another leader was seen; nothing more is ordered.
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -196,6 +196,7 @@
     dispatcher.token = token;
     dispatcher.outbox = &node.outbox;
     dispatcher.commits.token = token;
+    dispatcher.claimConfirmedAt = now;
     for (std::size_t stream = 0; stream < commitStreamCount; ++stream) {
         dispatcher.commits.streams.at(stream).key = chainKey(stream);
         dispatcher.commits.streams.at(stream).revision = token;
@@ -349,6 +350,7 @@
             node.dispatcher->commits.streams, [](const CommitStream &stream) { return !stream.inFlight.empty(); });
         health.failing = health.failing && retrying;
         leadership.keptAt = now.monotonic;
+        node.dispatcher->claimConfirmedAt = now.monotonic;
         leadership.nextKeep = now.monotonic + keepInterval;
         return;
     }
--- a/tests/dispatch/dispatch_recovery_test.cpp
+++ b/tests/dispatch/dispatch_recovery_test.cpp
@@ -314,6 +314,23 @@
     }
 }
 
+// Guards against a former leader that has not noticed its successor, because the store does not answer it, and says of
+// a job that the successor has accepted that it doesn't exist. Found by the soak, seed 1004.
+TEST(DispatchRecovery, AFormerLeaderDoesNotSayThatAJobDoesNotExist)
+{
+    World world(1, 4);
+    world.run(settleTime);
+    Node &former = *world.nodes[world.leaderIndex()].node;
+    world.store.refused.insert(world.leaderIndex());
+    world.run(milliseconds(1100));
+    const Now later = world.now();
+    const CallId call = former.outbox.newCall();
+    CHECK(former.dispatcher != nullptr);
+    takeClientCall(*former.dispatcher, {.call = call, .kind = ClientCallKind::Query, .job = 0x77}, later);
+    const Action &last = former.outbox.actions.back();
+    CHECK(std::get<LeaderAnswer>(last).answer.outcome == ClientOutcome::Unknown);
+}
+
 // Guards against a retry of a submission that becomes a second job, also after a change of leader and after the end.
 TEST(DispatchRecovery, ARetriedSubmissionStaysOneJob)
 {
