node: calls are not given to a leader twice; a former leader's refusal is passed over

Cause: after an outage of the store the leader claims again under a new token. Followers took it for another leader and gave it all open calls a second time. Change: calls are given again only to another process; answers of a leader that was replaced count only if they say that the job was stored.

--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -480,6 +480,9 @@
     if (node.dispatcher || leadership.phase != ClaimPhase::Following) {
         stepDown(node, StepDown::Replaced, "another daemon has claimed leadership", now);
     }
+    // A leader that claimed again under a new token still has the calls that it was given. Given twice, one copy could
+    // be refused and the other one run.
+    const bool sameProcess = leader.node == leadership.leader.node && leadership.leaderConnected;
     leadership.leader = leader;
     // The connection may be open already: the leader was asked as a seed, or has asked this daemon.
     leadership.leaderConnected = std::ranges::find(node.connectedNodes, leader.node) != node.connectedNodes.end();
@@ -489,7 +492,7 @@
     leadership.claimMissing = false;
     leadership.claimAt = MonotonicTime::max();
     for (auto &[call, entry] : node.entries) {
-        entry.sent = false;
+        entry.sent = entry.sent && sameProcess;
     }
     dialLeader(node);
 }
--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -284,6 +284,17 @@
     takeClientCall(*node.dispatcher, own, now);
 }
 
+/// A former leader's refusal doesn't count: the call was given to its successor, which may have accepted it.
+void takeForwardedAnswer(Node &node, std::string_view from, const ClientAnswer &answer)
+{
+    if (from != node.leadership.leader.node && answer.outcome != ClientOutcome::Ok) {
+        logLine(LogLevel::Info, logPart, "A former leader's answer is passed over. call={} node={} leader={}",
+            answer.call, from, node.leadership.leader.node);
+        return;
+    }
+    finishEntry(node, answer.call, answer);
+}
+
 void takeAdviceOrder(Node &node, std::string_view from, const AdviceOrder &order)
 {
     AskAdvice own = order.ask;
@@ -407,7 +418,7 @@
     } else if (const auto *forwarded = std::get_if<ForwardedCall>(&body)) {
         takeForwarded(node, from, *forwarded, now);
     } else if (const auto *answered = std::get_if<ForwardedAnswer>(&body)) {
-        finishEntry(node, answered->answer.call, answered->answer);
+        takeForwardedAnswer(node, from, answered->answer);
     } else if (const auto *order = std::get_if<AdviceOrder>(&body)) {
         takeAdviceOrder(node, from, *order);
     } else if (const auto *result = std::get_if<AdviceResult>(&body)) {
