workers: a start that was stopped for good is settled by the next lists; one constant for the claim's lease

Cause: a start without an answer is stopped, and a list that was asked for after the stop shows whether it came to anything. Change: an answered stop of an unanswered start is not repeated, and the look that settles it is not held back.

An unknown job is denied within the claim's lease after the renewal was sent, not after its answer.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -30,13 +30,11 @@
 constexpr milliseconds outageRetryAfter{1000};
 constexpr milliseconds overloadRetryAfter{2000};
 
-/// The claim's lease: within it no other daemon can have accepted a job.
-constexpr milliseconds claimTrust{1000};
-
-/// What is said of a job that this leader doesn't know.
+/// What is said of a job that this leader doesn't know: within the lease of its claim no other daemon can have accepted
+/// it.
 ClientOutcome outcomeOfUnknownJob(const Dispatcher &dispatcher, MonotonicTime now)
 {
-    return now - dispatcher.claimConfirmedAt < claimTrust ? ClientOutcome::NoSuchJob : ClientOutcome::Unknown;
+    return now - dispatcher.claimConfirmedAt < claimLease ? ClientOutcome::NoSuchJob : ClientOutcome::Unknown;
 }
 
 bool storeIsAway(const Dispatcher &dispatcher, MonotonicTime now, milliseconds patience)
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -18,6 +18,10 @@
 namespace wigeonkeel::dispatch
 {
 
+/// Lease of the leader's claim: the shortest that the platform grants, because its rest is what clients wait for when
+/// the leader's VM loses power.
+inline constexpr milliseconds claimLease{1000};
+
 /// Bounds of the platform that the decisions keep to.
 struct DispatchBounds
 {
@@ -83,8 +87,8 @@
     /// Until then, or until every worker has answered, inherited jobs are not started: their runs may be anywhere.
     MonotonicTime inheritanceSettlesAt{};
     bool inheritanceSettled = true;
-    /// The store confirmed the claim; without that for a while another daemon may lead and know jobs that this one
-    /// doesn't.
+    /// When the last renewal of the claim that the store confirmed was sent. A lease later another daemon may lead and
+    /// know jobs that this one doesn't.
     MonotonicTime claimConfirmedAt{};
     /// All records of ended jobs were read, so that an unknown id is surely new.
     bool endsLoaded = false;
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -18,9 +18,7 @@
 constexpr std::string_view logPart = "leader";
 constexpr std::string_view controlPrefix = "wk/ctl/";
 constexpr std::string_view claimKey = "wk/ctl/leader";
-/// Shortest lease that the platform grants. Its rest is what clients wait for when the leader's VM loses power; four
-/// renewals fit into it, so that lost answers change nothing.
-constexpr milliseconds claimLease{1000};
+/// Four renewals fit into the claim's lease, so that lost answers change nothing.
 constexpr milliseconds keepInterval{250};
 constexpr milliseconds keepRetry{100};
 /// Longest wait for the answer to a renewal. It covers a store that is a hundred times as slow as usual.
@@ -350,7 +348,7 @@
             node.dispatcher->commits.streams, [](const CommitStream &stream) { return !stream.inFlight.empty(); });
         health.failing = health.failing && retrying;
         leadership.keptAt = now.monotonic;
-        node.dispatcher->claimConfirmedAt = now.monotonic;
+        node.dispatcher->claimConfirmedAt = leadership.keepSentAt;
         leadership.nextKeep = now.monotonic + keepInterval;
         return;
     }
@@ -422,6 +420,7 @@
     Leadership &leadership = node.leadership;
     if (!leadership.keepOpen && !leadership.reclaiming && now.monotonic >= leadership.nextKeep) {
         leadership.keepOpen = true;
+        leadership.keepSentAt = now.monotonic;
         node.outbox.add(StoreKeepLease{.call = storeCall(node, StorePurpose::KeepLeadership),
             .lease = leadership.lease,
             .timeout
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -93,6 +93,7 @@
     std::uint64_t lease = 0;
     MonotonicTime keptAt{};
     MonotonicTime nextKeep{};
+    MonotonicTime keepSentAt{};
     bool keepOpen = false;
     bool reclaiming = false;
     std::vector<StoreItem> control;
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -42,6 +42,13 @@
     return worker.listed || worker.inherited || !worker.runs.empty();
 }
 
+/// The start had no answer and was stopped for good: the next list that is asked for shows whether the run was there. A
+/// further stop would only put that off.
+bool awaitsProof(const Run &run)
+{
+    return run.phase == RunPhase::Stopping && run.stopAnswered && !run.confirmed;
+}
+
 /// What the worker told before doesn't hold any more.
 void resetLife(Worker &worker, MonotonicTime now)
 {
@@ -195,6 +202,9 @@
     if (reply.status == CallStatus::Ok) {
         run.stopAnswered = true;
         run.orderedAt = now;
+        if (awaitsProof(run) && !worker.renewalOpen) {
+            worker.nextRenewal = now;
+        }
         return;
     }
     if (reply.refusal == StartRefusal::Fenced && order.token == dispatcher.token) {
@@ -357,7 +367,9 @@
         const milliseconds lease = std::min(dispatcher.bounds.workerLease, dispatcher.bounds.maxWorkerLease);
         call.leaseUntil = workerClockNow(worker, now) + lease;
         worker.leaseAsked = std::max(worker.leaseAsked, call.leaseUntil);
-        const bool waits = !worker.runs.empty() && worker.ends.empty();
+        const bool proofDue
+            = std::ranges::any_of(worker.runs, [](const auto &entry) { return awaitsProof(entry.second); });
+        const bool waits = !worker.runs.empty() && worker.ends.empty() && !proofDue;
         call.wait = waits ? renewalWait : milliseconds(0);
         call.timeout = call.wait + renewalSlack;
     }
@@ -418,6 +430,9 @@
     if (worker.renewalFailures > 0) {
         return;
     }
+    if (awaitsProof(run)) {
+        return;
+    }
     if (run.phase == RunPhase::Stopping) {
         // An answered stop has its time to take effect.
         const milliseconds patience
--- a/tests/dispatch/dispatch_recovery_test.cpp
+++ b/tests/dispatch/dispatch_recovery_test.cpp
@@ -331,6 +331,31 @@
     CHECK(std::get<LeaderAnswer>(last).answer.outcome == ClientOutcome::Unknown);
 }
 
+// Guards against a start without an answer that is stopped again and again, each time before the list that would show
+// that it came to nothing: its task waited 8 s. Found by the soak, seed 1012.
+TEST(DispatchRecovery, AStoppedStartIsSettledByTheNextLists)
+{
+    for (int moment = 50; moment < 900; moment += 25) {
+        World world(3, 3);
+        world.run(settleTime);
+        // A long task, so that looks at the worker are held back.
+        world.submit(0, 0x28, oneStep(3, 1000, milliseconds(20000)), "batch");
+        world.run(milliseconds(300));
+        world.startDelay = milliseconds(60000);
+        world.submit(0, 0x29, oneStep(6, 1000, milliseconds(300)), "urgent");
+        world.run(milliseconds(moment));
+        world.startDelay = milliseconds(0);
+        world.crashWorker(0);
+        world.restartWorker(0);
+        // The directory is read every 600 ms, and a look is held back for 1.2 s.
+        world.run(milliseconds(600 + 2 * 1200 + 300 + 500));
+        const Worker &worker = world.leader()->dispatcher->workers.workers[0];
+        for (const auto &[key, run] : worker.runs) {
+            CHECK(run.phase != RunPhase::Stopping);
+        }
+    }
+}
+
 // Guards against a retry of a submission that becomes a second job, also after a change of leader and after the end.
 TEST(DispatchRecovery, ARetriedSubmissionStaysOneJob)
 {
