--- a/core/dispatch/configuration_watch.cpp
+++ b/core/dispatch/configuration_watch.cpp
@@ -21,16 +21,20 @@
 /// An answer to a request for a copy is expected within this.
 constexpr milliseconds requestInterval{800};
 
+bool isNewer(const Node &node, const Configuration &configuration)
+{
+    return !node.hasConfiguration || configuration.version > node.configuration.version;
+}
+
 /// A stale reply never takes settings back.
 void adopt(Node &node, const Configuration &configuration, std::string_view source, Now now)
 {
-    if (node.hasConfiguration && configuration.version <= node.configuration.version) {
+    if (!isNewer(node, configuration)) {
         return;
     }
     logLine(LogLevel::Info, logPart, "Configuration in force. version={} before={} queues={} source={}",
         configuration.version, node.configuration.version, configuration.queues.size(), source);
     node.configuration = configuration;
-    indexQueues(node.configuration);
     node.hasConfiguration = true;
     if (node.dispatcher) {
         setConfiguration(*node.dispatcher, node.configuration);
@@ -108,7 +112,13 @@
 
 void takeConfigurationCopy(Node &node, std::string_view from, const ConfigurationTransfer &transfer, Now now)
 {
-    adopt(node, transfer.configuration, from, now);
+    if (!isNewer(node, transfer.configuration)) {
+        return;
+    }
+    // Indexes don't travel; the adapter has filled those of settings from the store.
+    Configuration copy = transfer.configuration;
+    indexQueues(copy);
+    adopt(node, copy, from, now);
 }
 
 } // namespace wigeonkeel::dispatch
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -130,7 +130,6 @@
         self.checker = Checker(ATTEMPTS)
         self.clients = {}
         self.version = 1
-        self.config_at = 0.0
         self.tasks = []
         self.events = []
 
