dispatch: logs tell when an end is stored, acknowledged and shown, and which run a worker forgot

One line each; a run that a worker no longer lists is told from one whose lease lapsed, and counted as runs_missing.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -152,10 +152,17 @@
     return mayShow ? job.state : JobState::Running;
 }
 
+void logShown(const ClientCall &call, JobState state, bool stored)
+{
+    logLine(LogLevel::Info, logPart, "End shown. job={} state={} stored={}", formatJobId(call.job), stateName(state),
+        stored);
+}
+
 void query(Dispatcher &dispatcher, const ClientCall &call, MonotonicTime now)
 {
     const auto ended = dispatcher.jobs.ended.find(call.job);
     if (ended != dispatcher.jobs.ended.end()) {
+        logShown(call, ended->second, true);
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok, .state = ended->second});
         return;
     }
@@ -164,7 +171,11 @@
         answer(dispatcher, {.call = call.call, .outcome = outcomeOfUnknownJob(dispatcher, now)});
         return;
     }
-    answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok, .state = shownState(dispatcher, *job, now)});
+    const JobState state = shownState(dispatcher, *job, now);
+    if (isEnded(state)) {
+        logShown(call, state, job->endStored);
+    }
+    answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok, .state = state});
 }
 
 void cancel(Dispatcher &dispatcher, const ClientCall &call, MonotonicTime now)
@@ -232,6 +243,8 @@
 {
     job.endStored = true;
     observe(dispatcher, DurationKind::Completion, now - job.submittedAt);
+    logLine(LogLevel::Info, logPart, "End stored. job={} state={} token={} worker_ends={}", formatJobId(job.record.id),
+        stateName(job.state), dispatcher.token, job.unstoredEnds.size());
     markEndsStored(dispatcher, job.unstoredEnds, now);
     for (const CallId call : job.waitingCancels) {
         answer(dispatcher, {.call = call, .outcome = ClientOutcome::Ok});
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -62,6 +62,8 @@
     std::uint64_t runsDone = 0;
     std::uint64_t runsFailed = 0;
     std::uint64_t runsLost = 0;
+    /// Runs that a worker had confirmed and then no longer listed, neither as running nor as ended.
+    std::uint64_t runsMissing = 0;
     std::uint64_t preempted = 0;
     std::uint64_t gangsUndone = 0;
     std::uint64_t stalled = 0;
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -220,6 +220,12 @@
     const Run &run = worker.runs.at(key);
     if (run.confirmed) {
         if (run.seenAt < sentAt) {
+            ++dispatcher.counters.runsMissing;
+            logLine(LogLevel::Warning, logPart,
+                "Run is missing from the lists. task={} attempt={} worker={} incarnation={} last_end={} "
+                "acknowledged={} seen_ms_ago={}",
+                formatTaskKey(key), run.attempt, worker.entry.id, worker.entry.incarnation, worker.lastEnd,
+                worker.acknowledgementSent, std::chrono::floor<milliseconds>(now - run.seenAt).count());
             concludeRun(dispatcher, key,
                 {.number = 0, .task = key, .attempt = run.attempt, .end = RunEnd::LeaseLapsed, .checkpoint = {}}, slot,
                 now);
@@ -373,6 +379,10 @@
         call.wait = waits ? renewalWait : milliseconds(0);
         call.timeout = call.wait + renewalSlack;
     }
+    if (call.acknowledged > worker.acknowledgementSent) {
+        logLine(LogLevel::Info, logPart, "Ends acknowledged. worker={} incarnation={} up_to={} last_end={} token={}",
+            worker.entry.id, worker.entry.incarnation, call.acknowledged, worker.lastEnd, dispatcher.token);
+    }
     worker.acknowledgementSent = call.acknowledged;
     worker.renewalOpen = true;
     worker.renewalCall = call.call;
