dispatch: an end is shown once it is stored

Callers saw a job as done that ran again (TWICE).

AnEndIsNotShownBeforeItIsStored failed before: the job was shown as done 0.7 s into a silent outage.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -22,8 +22,6 @@
 constexpr std::size_t maxForgotten = 28;
 /// While the store has failed for this long, new jobs are refused at once: they could not be stored in time.
 constexpr milliseconds storePatience{500};
-/// After this long without the store, ends are shown although only the workers keep them.
-constexpr milliseconds storeOutage{700};
 /// Jobs that wait to be stored; with more, new ones are refused.
 constexpr std::size_t maxWaitingCommits = 600;
 /// When a client may try again after the store was away.
@@ -37,10 +35,10 @@
     return now - dispatcher.claimConfirmedAt < claimLease ? ClientOutcome::NoSuchJob : ClientOutcome::Unknown;
 }
 
-bool storeIsAway(const Dispatcher &dispatcher, MonotonicTime now, milliseconds patience)
+bool storeIsAway(const Dispatcher &dispatcher, MonotonicTime now)
 {
     const StoreHealth &health = dispatcher.commits.health;
-    return health.failing && now - health.failingSince > patience;
+    return health.failing && now - health.failingSince > storePatience;
 }
 
 void answer(Dispatcher &dispatcher, ClientAnswer answer)
@@ -116,7 +114,7 @@
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Impossible});
         return;
     }
-    if (storeIsAway(dispatcher, now.monotonic, storePatience)) {
+    if (storeIsAway(dispatcher, now.monotonic)) {
         refuse(dispatcher, call, outageRetryAfter, "store away");
         return;
     }
@@ -142,27 +140,18 @@
     enqueue(dispatcher.commits, std::move(commit));
 }
 
-JobState shownState(const Dispatcher &dispatcher, const Job &job, MonotonicTime now)
+/// An end is told once its record is stored: a client that has heard of it must not see the job run again, and until
+/// then the workers' lists, which go with their power, are all that keeps it.
+JobState shownState(const Job &job)
 {
-    if (!isEnded(job.state)) {
-        return job.started ? JobState::Running : JobState::Queued;
-    }
-    // The workers keep their lists until the store has the end, so a long outage of the store alone loses nothing.
-    const bool mayShow = job.endStored || (job.state == JobState::Done && storeIsAway(dispatcher, now, storeOutage));
-    return mayShow ? job.state : JobState::Running;
-}
-
-void logShown(const ClientCall &call, JobState state, bool stored)
-{
-    logLine(LogLevel::Info, logPart, "End shown. job={} state={} stored={}", formatJobId(call.job), stateName(state),
-        stored);
+    return job.started || isEnded(job.state) ? JobState::Running : JobState::Queued;
 }
 
 void query(Dispatcher &dispatcher, const ClientCall &call, MonotonicTime now)
 {
     const auto ended = dispatcher.jobs.ended.find(call.job);
     if (ended != dispatcher.jobs.ended.end()) {
-        logShown(call, ended->second, true);
+        logLine(LogLevel::Info, logPart, "End shown. job={} state={}", formatJobId(call.job), stateName(ended->second));
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok, .state = ended->second});
         return;
     }
@@ -171,11 +160,7 @@
         answer(dispatcher, {.call = call.call, .outcome = outcomeOfUnknownJob(dispatcher, now)});
         return;
     }
-    const JobState state = shownState(dispatcher, *job, now);
-    if (isEnded(state)) {
-        logShown(call, state, job->endStored);
-    }
-    answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok, .state = state});
+    answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok, .state = shownState(*job)});
 }
 
 void cancel(Dispatcher &dispatcher, const ClientCall &call, MonotonicTime now)
@@ -286,7 +271,7 @@
 /// Submissions that surely are not stored are refused while it is away, which is true: they will not run.
 void refuseUnsentJobs(Dispatcher &dispatcher, MonotonicTime now)
 {
-    if (!storeIsAway(dispatcher, now, storePatience)) {
+    if (!storeIsAway(dispatcher, now)) {
         return;
     }
     for (const auto &[kind, id] : takeUnsentAcceptances(dispatcher.commits)) {
--- a/tests/dispatch/dispatch_recovery_test.cpp
+++ b/tests/dispatch/dispatch_recovery_test.cpp
@@ -415,3 +415,23 @@
     CHECK_EQUAL(4, world.starts);
     checkPromises(world);
 }
+
+// Guards against an end that a client is told although only workers keep it: the store is away, the workers lose power,
+// and the next leader, which never heard of the end, runs the task again.
+TEST(DispatchRecovery, AnEndIsNotShownBeforeItIsStored)
+{
+    World world(3, 4);
+    world.run(settleTime);
+    world.submit(0, 0x61, oneStep(2, 1000, milliseconds(400)), "urgent");
+    world.run(milliseconds(200));
+    world.store.silent = true;
+    for (int i = 0; i < 8; ++i) {
+        world.run(milliseconds(400));
+        CHECK_FALSE(isDone(world, world.leaderIndex(), 0x61));
+    }
+    world.store.silent = false;
+    world.run(milliseconds(1500));
+    CHECK(isDone(world, world.leaderIndex(), 0x61));
+    CHECK(world.store.items.contains(endKey(0x61)));
+    checkPromises(world);
+}
