leadership: a leader doesn't claim again after another has led

A leader whose claim had ended wrote it again on the one condition that no claim exists. If another daemon had led in between, stored ends, acknowledged them and was gone again, the former leader went on with its old memory under the highest token: runs that the workers had been told to forget were taken for lost and started again, and ends of jobs that only the successor knew were acknowledged without a record. Its next commit was refused, which is too late.

Every claim now also writes wk/ctl/term, which is not removed with the claim's lease. A claim is written again only if the term is the daemon's own; otherwise the daemon steps down. Replies to a claim that was given up since are passed over.

ALeaderDoesNotClaimAgainAfterAnotherHasLed failed before (the former leader held the ended job under the new token) and passes.

--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -18,6 +18,9 @@
 constexpr std::string_view logPart = "leader";
 constexpr std::string_view controlPrefix = "wk/ctl/";
 constexpr std::string_view claimKey = "wk/ctl/leader";
+/// Written with every claim and without a lease: its revision tells whether another daemon has led since, also when
+/// that daemon's claim is gone again.
+constexpr std::string_view termKey = "wk/ctl/term";
 /// Four renewals fit into the claim's lease, so that lost answers change nothing.
 constexpr milliseconds keepInterval{250};
 constexpr milliseconds keepRetry{100};
@@ -154,6 +157,19 @@
     return item == nullptr ? 0 : item->revision;
 }
 
+/// Writes the claim under the present lease if claim and term are at these revisions (0: the key is absent).
+StoreTransaction claimTransaction(
+    Node &node, StorePurpose purpose, std::uint64_t claimRevision, std::uint64_t termRevision)
+{
+    return {.call = storeCall(node, purpose),
+        .conditions = {{.key = std::string(claimKey), .revision = claimRevision},
+            {.key = std::string(termKey), .revision = termRevision}},
+        .writes = {{.key = std::string(claimKey), .value = encodeClaim(node), .lease = node.leadership.lease},
+            {.key = std::string(termKey), .value = node.options.name}},
+        .deletes = {},
+        .timeout = claimTimeout};
+}
+
 void writeClaim(Node &node, const StoreReply &reply, Now now)
 {
     Leadership &leadership = node.leadership;
@@ -166,11 +182,8 @@
     }
     leadership.lease = reply.lease;
     leadership.keptAt = now.monotonic;
-    StoreTransaction claim{.call = storeCall(node, StorePurpose::ClaimWrite),
-        .conditions = {{.key = std::string(claimKey), .revision = revisionOf(leadership, claimKey)}},
-        .writes = {{.key = std::string(claimKey), .value = encodeClaim(node), .lease = reply.lease}},
-        .deletes = {},
-        .timeout = claimTimeout};
+    StoreTransaction claim = claimTransaction(
+        node, StorePurpose::ClaimWrite, revisionOf(leadership, claimKey), revisionOf(leadership, termKey));
     for (std::size_t stream = 0; stream < commitStreamCount; ++stream) {
         const std::string key = chainKey(stream);
         claim.conditions.push_back({.key = key, .revision = revisionOf(leadership, key)});
@@ -233,6 +246,7 @@
     logLine(LogLevel::Info, logPart, "Claim written. token={} former={} former_token={}", reply.revision,
         leadership.leader.node, leadership.leader.token);
     leadership.leader = {.token = reply.revision, .node = node.options.name, .endpoint = node.options.endpoint};
+    leadership.term = reply.revision;
     leadership.leaderConnected = false;
     leadership.leaderRefused = false;
     leadership.leaderStoreFailing = false;
@@ -357,8 +371,8 @@
     }
     leadership.nextKeep = now.monotonic + keepRetry;
     if (reply.status == CallStatus::NotFound && !leadership.reclaiming) {
-        // The lease ended while the store was away, or was revoked. Unless another daemon was faster, the claim is
-        // written again; the chains show whether one was.
+        // The lease ended while the store was away, or was revoked. Unless another daemon has led since, the claim is
+        // written again.
         logLine(LogLevel::Warning, logPart, "The claim's lease has ended and is claimed again. token={}",
             leadership.leader.token);
         leadership.reclaiming = true;
@@ -366,20 +380,35 @@
     }
 }
 
+void writeClaimAgain(Node &node, std::uint64_t claimRevision)
+{
+    node.outbox.add(claimTransaction(node, StorePurpose::ReclaimWrite, claimRevision, node.leadership.term));
+}
+
 void takeReclaimLease(Node &node, const StoreReply &reply, Now now)
 {
     Leadership &leadership = node.leadership;
-    if (!node.dispatcher || reply.status != CallStatus::Ok) {
+    if (!node.dispatcher || !leadership.reclaiming || reply.status != CallStatus::Ok) {
         leadership.reclaiming = false;
         leadership.nextKeep = now.monotonic + keepRetry;
         return;
     }
     leadership.lease = reply.lease;
-    node.outbox.add(StoreTransaction{.call = storeCall(node, StorePurpose::ReclaimWrite),
-        .conditions = {{.key = std::string(claimKey), .revision = 0}},
-        .writes = {{.key = std::string(claimKey), .value = encodeClaim(node), .lease = reply.lease}},
-        .deletes = {},
-        .timeout = claimTimeout});
+    writeClaimAgain(node, 0);
+}
+
+/// This daemon's claim stands under a new token.
+void takeNewToken(Node &node, std::uint64_t token, Now now)
+{
+    if (token <= node.leadership.leader.token) {
+        return;
+    }
+    node.leadership.leader.token = token;
+    node.leadership.term = token;
+    node.dispatcher->token = token;
+    node.nextPresence = now.monotonic;
+    // Orders go on under the new token; the chains go on with the old one, which is only compared.
+    logLine(LogLevel::Info, logPart, "Claim written again. token={}", token);
 }
 
 void takeReclaimed(Node &node, const StoreReply &reply, Now now)
@@ -391,28 +420,34 @@
     }
     leadership.nextKeep = now.monotonic;
     if (reply.status == CallStatus::Ok) {
-        // Orders go on under the new token; the chains go on with the old one, which is only compared.
-        leadership.leader.token = reply.revision;
-        node.dispatcher->token = reply.revision;
-        node.nextPresence = now.monotonic;
-        logLine(LogLevel::Info, logPart, "Claim written again. token={}", reply.revision);
+        takeNewToken(node, reply.revision, now);
         return;
     }
     if (reply.status != CallStatus::Conflict) {
         return;
     }
     const StoreItem *claim = findItem(reply.items, claimKey);
-    if (claim == nullptr) {
+    const StoreItem *term = findItem(reply.items, termKey);
+    const std::uint64_t termRevision = term == nullptr ? 0 : term->revision;
+    const LeaderInfo present = claim == nullptr ? LeaderInfo{} : decodeClaim(*claim);
+    if (present.node == node.options.name && present.token == termRevision) {
+        // The write before took effect without an answer.
+        takeNewToken(node, present.token, now);
         return;
     }
-    const LeaderInfo present = decodeClaim(*claim);
-    if (present.node == node.options.name) {
-        // The write before took effect without an answer.
-        leadership.leader.token = present.token;
-        node.dispatcher->token = present.token;
+    if (termRevision != leadership.term) {
+        logLine(LogLevel::Warning, logPart,
+            "Another daemon has led since the claim was written. term={} present_term={}", leadership.term,
+            termRevision);
+        followLeader(node, present, now);
+        if (node.dispatcher) {
+            stepDown(node, StepDown::Replaced, "another daemon has led meanwhile", now);
+        }
         return;
     }
-    followLeader(node, present, now);
+    // The claim's key was taken away, but not its lease.
+    leadership.reclaiming = true;
+    writeClaimAgain(node, 0);
 }
 
 void tickLeader(Node &node, Now now)
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -91,6 +91,8 @@
     MonotonicTime nextHandover{};
     // Of this daemon's own claim:
     std::uint64_t lease = 0;
+    /// Revision of the term's key when this daemon wrote its claim last.
+    std::uint64_t term = 0;
     MonotonicTime keptAt{};
     MonotonicTime nextKeep{};
     MonotonicTime keepSentAt{};
--- a/tests/dispatch/dispatch_recovery_test.cpp
+++ b/tests/dispatch/dispatch_recovery_test.cpp
@@ -435,3 +435,42 @@
     CHECK(world.store.items.contains(endKey(0x61)));
     checkPromises(world);
 }
+
+// Guards against a former leader that claims again after its successor is gone, too: it doesn't know of the ends that
+// the successor has stored and acknowledged, takes their runs for lost and starts them again under the highest token.
+TEST(DispatchRecovery, ALeaderDoesNotClaimAgainAfterAnotherHasLed)
+{
+    World world(2, 4);
+    world.run(settleTime);
+    const std::size_t former = world.leaderIndex();
+    const std::size_t successor = otherThan(former);
+    world.submit(former, 0x71, oneStep(4, 1000, milliseconds(1500)), "batch");
+    world.submit(former, 0x72, oneStep(2, 1000, milliseconds(20000)), "batch");
+    world.run(milliseconds(500));
+    world.nodes[former].frozen = true;
+    world.nodes[former].deaf = true;
+    world.run(milliseconds(2500));
+    CHECK_EQUAL(successor, world.leaderIndex());
+    CHECK(isDone(world, successor, 0x71));
+    world.run(milliseconds(500));
+    world.kill(successor);
+    world.run(milliseconds(1500));
+    const std::uint64_t successorToken = world.store.items.at(chainKey(0)).revision;
+    // The workers don't tell the former leader of the newer token before it has claimed again.
+    for (WorldWorker &worker : world.workers) {
+        worker.silent = true;
+    }
+    world.nodes[former].frozen = false;
+    for (int i = 0; i < 1000; ++i) {
+        world.run(milliseconds(1));
+        const Node &node = *world.nodes[former].node;
+        const bool hasNewToken = isLeading(node) && node.dispatcher->token > successorToken;
+        CHECK_FALSE(hasNewToken && node.dispatcher->jobs.live.contains(0x71));
+    }
+    for (WorldWorker &worker : world.workers) {
+        worker.silent = false;
+    }
+    world.run(milliseconds(9000));
+    CHECK(isDone(world, former, 0x71));
+    checkPromises(world);
+}
--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -227,11 +227,19 @@
         return;
     }
     const Node *asked = nodes[node].node.get();
-    after(hop, [this, node, asked, give = std::move(give)] {
-        if (nodes[node].up && nodes[node].node.get() == asked) {
-            give(*nodes[node].node, now());
-        }
-    });
+    after(hop, [this, node, asked, give = std::move(give)] { deliver(node, asked, give); });
+}
+
+void World::deliver(std::size_t node, const Node *asked, std::function<void(Node &, Now)> give)
+{
+    if (!nodes[node].up || nodes[node].node.get() != asked) {
+        return;
+    }
+    if (nodes[node].frozen) {
+        after(hop, [this, node, asked, give = std::move(give)] { deliver(node, asked, give); });
+        return;
+    }
+    give(*nodes[node].node, now());
 }
 
 StoreReply World::transact(const StoreTransaction &transaction)
@@ -598,9 +606,10 @@
     } else if (const auto *message = std::get_if<SendToNode>(&action)) {
         const std::string from = nodes[node].node->options.name;
         after(hop, [this, from, message = *message] {
-            for (WorldNode &target : nodes) {
-                if (target.up && target.node->options.name == message.node) {
-                    takePeerMessage(*target.node, from, message.body, now());
+            for (std::size_t i = 0; i < nodes.size(); ++i) {
+                if (nodes[i].up && !nodes[i].deaf && nodes[i].node->options.name == message.node) {
+                    deliver(i, nodes[i].node.get(),
+                        [from, body = message.body](Node &owner, Now at) { takePeerMessage(owner, from, body, at); });
                 }
             }
         });
@@ -611,7 +620,7 @@
 
 void World::flush(std::size_t node)
 {
-    if (!nodes[node].up) {
+    if (!nodes[node].up || nodes[node].frozen) {
         return;
     }
     tick(*nodes[node].node, now());
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -81,6 +81,10 @@
 {
     std::unique_ptr<Node> node;
     bool up = true;
+    /// Stands still; what arrives is delivered once it goes on.
+    bool frozen = false;
+    /// What other daemons say does not arrive.
+    bool deaf = false;
     std::optional<Endpoint> dialled;
     bool connected = false;
     std::string connectedTo;
@@ -160,6 +164,7 @@
     void answerLooks(std::size_t worker);
     void expireLeases();
     void reply(std::size_t node, std::function<void(Node &, Now)> give);
+    void deliver(std::size_t node, const Node *asked, std::function<void(Node &, Now)> give);
     StoreReply transact(const StoreTransaction &transaction);
     StoreReply range(const StoreRange &range) const;
     OrderReply start(const StartRun &order);
