workers: acknowledgements and orders don't reach the next life of a worker

Looks and orders name a worker's id, which a worker that is born anew may keep, while its numbers of ends begin at 1 again. A look with the former life's acknowledgement, sent before the new life was noticed or carried out late, made the new life forget ends that nobody had heard; the leader took their runs for lost and started them again.

- A look acknowledges only if nothing can have ended in a life not seen yet: the last look was answered, and that lately, or every run was listed.
- When a new life is noticed, the leader writes its claim again and goes on under the higher token.
The new life gets no starts before it has answered a look under that token, so that it refuses what is still on its way for the life before.
- A start that was sent several times may still be carried out by the new life; it is stopped like one without an answer.

ANewLifeIsNotToldToForgetItsEnds and ALateLookDoesNotRemoveEndsOfTheNextLife failed before (tasks started after they were done) and pass.

--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -94,6 +94,8 @@
     MonotonicTime claimConfirmedAt{};
     /// All records of ended jobs were read, so that an unknown id is surely new.
     bool endsLoaded = false;
+    /// A worker's new life may still get orders that were meant for the one before; a higher token ends that.
+    bool newTokenDue = false;
     /// Another leader was seen; nothing more is ordered.
     bool deposed = false;
     /// The store's record of the workers is out of date.
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -406,6 +406,7 @@
     node.leadership.leader.token = token;
     node.leadership.term = token;
     node.dispatcher->token = token;
+    node.dispatcher->newTokenDue = false;
     node.nextPresence = now.monotonic;
     // Orders go on under the new token; the chains go on with the old one, which is only compared.
     logLine(LogLevel::Info, logPart, "Claim written again. token={}", token);
@@ -419,6 +420,7 @@
         return;
     }
     leadership.nextKeep = now.monotonic;
+    leadership.nextTokenTry = now.monotonic + claimRetry;
     if (reply.status == CallStatus::Ok) {
         takeNewToken(node, reply.revision, now);
         return;
@@ -450,6 +452,17 @@
     writeClaimAgain(node, 0);
 }
 
+/// Orders that were meant for a former life of a worker are refused once that worker has seen a higher token.
+void raiseToken(Node &node, Now now)
+{
+    Leadership &leadership = node.leadership;
+    if (!node.dispatcher->newTokenDue || leadership.reclaiming || now.monotonic < leadership.nextTokenTry) {
+        return;
+    }
+    leadership.reclaiming = true;
+    writeClaimAgain(node, leadership.leader.token);
+}
+
 void tickLeader(Node &node, Now now)
 {
     Leadership &leadership = node.leadership;
@@ -464,6 +477,7 @@
     if (leadership.phase != ClaimPhase::Leading) {
         return;
     }
+    raiseToken(node, now);
     const std::string_view reason = reasonToResign(node, now);
     if (!reason.empty()) {
         stepDown(node, StepDown::Resigns, reason, now);
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -98,6 +98,7 @@
     MonotonicTime keepSentAt{};
     bool keepOpen = false;
     bool reclaiming = false;
+    MonotonicTime nextTokenTry{};
     std::vector<StoreItem> control;
     std::string loadAfter;
     std::map<JobId, JobRecord> loadedJobs;
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -37,11 +37,24 @@
 /// A worker that left the directory and does not answer is given up after its lease.
 constexpr milliseconds leaseMargin{100};
 
+/// A worker that answered a look this lately can't have crashed, started again and ended a run since. Longer than the
+/// usual time between looks.
+constexpr milliseconds sameLifeTime{500};
+
 bool isAlive(const Worker &worker)
 {
     return worker.listed || worker.inherited || !worker.runs.empty();
 }
 
+/// Acknowledgements name numbers, and a worker that is born anew under its id counts from 1 again: it would forget ends
+/// of its new life that nobody has heard. So one is sent only if nothing can have ended in a life not seen yet.
+bool mayAcknowledge(const Worker &worker, MonotonicTime now)
+{
+    const bool seenLately = now - worker.renewalAnsweredAt < sameLifeTime;
+    const bool allListed = std::ranges::all_of(worker.runs, [](const auto &entry) { return entry.second.listed; });
+    return worker.greeted && worker.renewalFailures == 0 && (seenLately || allListed);
+}
+
 /// The start had no answer and was stopped for good: the next list that is asked for shows whether the run was there. A
 /// further stop would only put that off.
 bool awaitsProof(const Run &run)
@@ -53,6 +66,7 @@
 void resetLife(Worker &worker, MonotonicTime now)
 {
     worker.greeted = false;
+    worker.greetedToken = 0;
     worker.ends.clear();
     worker.lastEnd = 0;
     worker.acknowledged = 0;
@@ -102,9 +116,14 @@
         worker.runs.size());
     resetLife(worker, now);
     worker.bornAt = now;
+    worker.formerLifeToken = dispatcher.token;
+    dispatcher.newTokenDue = true;
     std::vector<TaskKey> unanswered;
     for (auto &[key, run] : worker.runs) {
         run.stopCallOpen = false;
+        run.listed = false;
+        // A try that had no answer may still be carried out by the new life.
+        run.confirmed = run.confirmed && run.startTries <= 1;
         if (!run.confirmed) {
             unanswered.push_back(key);
         }
@@ -245,7 +264,12 @@
     Worker &worker = dispatcher.workers.workers[slot];
     worker.strangersUntil = now + strangerDelay;
     chargeRun(worker, running.task,
-        {.attempt = running.attempt, .size = {}, .phase = RunPhase::Running, .seenAt = now, .confirmed = true});
+        {.attempt = running.attempt,
+            .size = {},
+            .phase = RunPhase::Running,
+            .seenAt = now,
+            .confirmed = true,
+            .listed = true});
     stopRun(dispatcher, slot, running.task, now);
 }
 
@@ -275,6 +299,7 @@
     run.phase = RunPhase::Running;
     run.seenAt = now;
     run.confirmed = true;
+    run.listed = true;
     chargeRun(worker, running.task, run);
     logLine(LogLevel::Info, logPart, "Run taken over. task={} attempt={} worker={}", formatTaskKey(running.task),
         running.attempt, worker.entry.id);
@@ -293,6 +318,7 @@
         return;
     }
     run.confirmed = true;
+    run.listed = true;
     run.seenAt = now;
     const TaskPlace place = findTask(dispatcher, running.task);
     if (run.phase == RunPhase::Starting) {
@@ -360,7 +386,7 @@
     RenewWorker call{.call = dispatcher.outbox->newCall(),
         .worker = targetOf(worker),
         .fencingToken = dispatcher.token,
-        .acknowledged = acknowledgeable(worker),
+        .acknowledged = mayAcknowledge(worker, now) ? acknowledgeable(worker) : 0,
         .leaseUntil = {},
         .wait = milliseconds(0),
         .timeout = firstContactTimeout};
@@ -375,7 +401,7 @@
         worker.leaseAsked = std::max(worker.leaseAsked, call.leaseUntil);
         const bool proofDue
             = std::ranges::any_of(worker.runs, [](const auto &entry) { return awaitsProof(entry.second); });
-        const bool waits = !worker.runs.empty() && worker.ends.empty() && !proofDue;
+        const bool waits = !worker.runs.empty() && worker.ends.empty() && !proofDue && !hasLateOrders(worker);
         call.wait = waits ? renewalWait : milliseconds(0);
         call.timeout = call.wait + renewalSlack;
     }
@@ -383,7 +409,7 @@
         logLine(LogLevel::Info, logPart, "Ends acknowledged. worker={} incarnation={} up_to={} last_end={} token={}",
             worker.entry.id, worker.entry.incarnation, call.acknowledged, worker.lastEnd, dispatcher.token);
     }
-    worker.acknowledgementSent = call.acknowledged;
+    worker.acknowledgementSent = std::max(worker.acknowledgementSent, call.acknowledged);
     worker.renewalOpen = true;
     worker.renewalCall = call.call;
     worker.renewalToken = dispatcher.token;
@@ -563,6 +589,7 @@
             worker.leaseAsked = std::max(worker.leaseBefore, worker.startLease);
         }
         ++worker.renewalFailures;
+        worker.acknowledgementSent = 0;
         const auto delay = std::min(failedRenewalDelay * worker.renewalFailures, longestRenewalDelay);
         worker.nextRenewal = now + delay;
         logLine(LogLevel::Info, logPart, "Look failed. worker={} status={} failures={} runs={}", worker.entry.id,
@@ -586,6 +613,7 @@
     const bool wasLost = worker.renewalFailures > 0;
     worker.renewalFailures = 0;
     worker.greeted = true;
+    worker.greetedToken = worker.renewalToken;
     worker.inherited = false;
     takeLists(dispatcher, slot, reply, worker.renewalSentAt, now);
     planRenewal(worker, now);
@@ -613,7 +641,9 @@
 {
     for (WorkerSlot slot = 0; slot < dispatcher.workers.workers.size(); ++slot) {
         Worker &worker = dispatcher.workers.workers[slot];
-        if (!worker.renewalOpen && worker.nextRenewal <= now && isAlive(worker)) {
+        const bool tokenDue = hasLateOrders(worker) && dispatcher.token > worker.formerLifeToken;
+        const bool due = worker.nextRenewal <= now || (tokenDue && worker.renewalFailures == 0);
+        if (!worker.renewalOpen && due && isAlive(worker)) {
             renew(dispatcher, slot, now);
         }
     }
--- a/core/dispatch/worker_table.cpp
+++ b/core/dispatch/worker_table.cpp
@@ -35,10 +35,15 @@
     return {.id = worker.entry.id, .endpoint = worker.entry.endpoint, .incarnation = worker.entry.incarnation};
 }
 
+bool hasLateOrders(const Worker &worker)
+{
+    return worker.formerLifeToken != 0 && worker.greetedToken <= worker.formerLifeToken;
+}
+
 bool takesStarts(const Worker &worker, MonotonicTime now)
 {
-    return worker.listed && worker.greeted && !worker.entry.draining && worker.renewalFailures == 0
-        && worker.health.avoidUntil <= now && worker.strangersUntil <= now;
+    return worker.listed && worker.greeted && !hasLateOrders(worker) && !worker.entry.draining
+        && worker.renewalFailures == 0 && worker.health.avoidUntil <= now && worker.strangersUntil <= now;
 }
 
 WorkerTime workerClockNow(const Worker &worker, MonotonicTime now)
--- a/core/dispatch/worker_table.h
+++ b/core/dispatch/worker_table.h
@@ -39,6 +39,8 @@
     /// that it is gone.
     MonotonicTime seenAt{};
     bool confirmed = false;
+    /// A list of the worker's present life has shown it.
+    bool listed = false;
     std::uint32_t startTries = 0;
     bool startCallOpen = false;
     bool stopCallOpen = false;
@@ -75,6 +77,10 @@
     MonotonicTime bornAt{};
     /// The worker answered under this leader's token, so that older orders are refused.
     bool greeted = false;
+    /// Highest token that the present life has answered to.
+    std::uint64_t greetedToken = 0;
+    /// Orders up to this token may have been meant for the life before.
+    std::uint64_t formerLifeToken = 0;
     Resources used;
     /// Room kept for planned gangs.
     Resources reserved;
@@ -114,6 +120,9 @@
 /// Adds the worker if it is new.
 WorkerSlot addWorker(WorkerTable &table, std::string_view id);
 
+/// Orders that were meant for a former life of the worker may still be carried out.
+bool hasLateOrders(const Worker &worker);
+
 /// Names the worker's present life, for an order.
 WorkerTarget targetOf(const Worker &worker);
 
--- a/tests/dispatch/dispatch_recovery_test.cpp
+++ b/tests/dispatch/dispatch_recovery_test.cpp
@@ -474,3 +474,57 @@
     CHECK(isDone(world, former, 0x71));
     checkPromises(world);
 }
+
+// Guards against an acknowledgement that was meant for the life before: a worker that is born anew under its id counts
+// its ends from 1 again, forgets those that nobody has heard, and their tasks run again.
+TEST(DispatchRecovery, ANewLifeIsNotToldToForgetItsEnds)
+{
+    for (int work = 40; work < 100; work += 10) {
+        World world(3, 1);
+        world.truth = [work](const TaskKey &, std::uint32_t) { return WorldRun{.work = milliseconds(work)}; };
+        world.run(settleTime);
+        world.submit(0, 0x81, oneStep(3, 1000, milliseconds(400)), "urgent");
+        world.run(milliseconds(2500));
+        CHECK(isDone(world, 0, 0x81));
+        world.crashWorker(0);
+        world.restartWorker(0);
+        world.workers[0].mute = true;
+        world.submit(0, 0x82, oneStep(2, 1000, milliseconds(400)), "urgent");
+        world.run(milliseconds(300));
+        world.workers[0].mute = false;
+        world.run(milliseconds(9000));
+        CHECK(isDone(world, 0, 0x82));
+        checkPromises(world);
+    }
+}
+
+// Guards against a look that was sent to the life before and is carried out late: its acknowledgement removes ends of
+// the new life.
+TEST(DispatchRecovery, ALateLookDoesNotRemoveEndsOfTheNextLife)
+{
+    for (int late = 1500; late < 3500; late += 10) {
+        World world(3, 1);
+        world.truth = [](const TaskKey &task, std::uint32_t) {
+            return WorldRun{.work = milliseconds(task.step.job == 0x92 ? 20000 : 400 + 40 * task.index)};
+        };
+        world.run(settleTime);
+        world.submit(0, 0x91, oneStep(3, 500, milliseconds(400)), "batch");
+        world.submit(0, 0x92, oneStep(1, 500, milliseconds(20000)), "batch");
+        world.run(milliseconds(1000));
+        CHECK(isDone(world, 0, 0x91));
+        world.lookDelay = milliseconds(late);
+        world.run(milliseconds(1300));
+        world.lookDelay = milliseconds(0);
+        world.crashWorker(0);
+        world.restartWorker(0);
+        for (JobId job = 0xa0; job < 0xa6; ++job) {
+            world.run(milliseconds(300));
+            world.submit(0, job, oneStep(2, 500, milliseconds(400)), "batch");
+        }
+        world.run(milliseconds(6000));
+        for (JobId job = 0xa0; job < 0xa6; ++job) {
+            CHECK(isDone(world, 0, job));
+        }
+        checkPromises(world);
+    }
+}
--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -568,9 +568,16 @@
             reply(node, [result](Node &owner, Now at) { takeOrderReply(owner, result, at); });
         });
     } else if (const auto *renewal = std::get_if<RenewWorker>(&action)) {
-        after(hop, [this, node, renewal = *renewal] {
+        const bool late = lookDelay.count() > 0 && workerIndex(renewal->worker.id) == delayedWorker;
+        if (late) {
+            after(lookDelay, [this, renewal = *renewal] { look(workerIndex(renewal.worker.id), renewal); });
+        }
+        after(hop, [this, node, late, renewal = *renewal] {
             const std::size_t worker = workerIndex(renewal.worker.id);
-            if (!workers[worker].up || workers[worker].silent) {
+            if (late || !workers[worker].up || workers[worker].silent || workers[worker].mute) {
+                if (workers[worker].mute && !late) {
+                    look(worker, renewal);
+                }
                 after(renewal.timeout, [this, node, id = renewal.call] {
                     reply(node, [id](Node &owner, Now at) {
                         takeRenewReply(
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -34,6 +34,8 @@
     bool up = true;
     /// Orders and looks get no answer.
     bool silent = false;
+    /// Looks are carried out and not answered.
+    bool mute = false;
     /// The directory doesn't list it.
     bool unlisted = false;
     /// Fails all that it starts.
@@ -134,6 +136,9 @@
     TruthOf truth;
     /// Starts are on their way for this much longer.
     milliseconds startDelay{0};
+    /// Looks at this worker that are sent now get no answer and are carried out this much later; 0 for none.
+    milliseconds lookDelay{0};
+    std::size_t delayedWorker = 0;
     /// Percent of workers that the adviser allows for a step.
     std::uint64_t allowedPercent = 60;
     /// The adviser takes as long as the question's timeout allows for, and its tickets end; starts are checked for it.
