workers: a worker is recorded before its first start, and unstored ends outlive a lost worker

A worker that joined could get starts before the store's record of workers named it; if the directory forgot it during an outage and the leader changed, the next leader did not hear it before it started the same tasks elsewhere. A worker that was given up lost the list of its ends that wait for the store, so that the next stored end acknowledged them as well; one that left the directory and holds nothing but such ends was neither looked at nor recorded.

AWorkerIsRecordedBeforeItsFirstStart failed before (the record named one worker of two). The two other changes have no test that fails without them.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -241,13 +241,25 @@
     dispatcher.jobs.live.erase(id);
 }
 
+void takeWorkersStored(Dispatcher &dispatcher)
+{
+    dispatcher.workersCommitOpen = false;
+    dispatcher.placementDue = true;
+    for (Worker &worker : dispatcher.workers.workers) {
+        worker.recorded = false;
+    }
+    for (const WorkerSlot slot : std::exchange(dispatcher.workersBeingRecorded, {})) {
+        dispatcher.workers.workers[slot].recorded = true;
+    }
+}
+
 void takeStored(Dispatcher &dispatcher, const CommitTag &tag, MonotonicTime now)
 {
     if (tag.kind == CommitKind::Forget) {
         return;
     }
     if (tag.kind == CommitKind::Workers) {
-        dispatcher.workersCommitOpen = false;
+        takeWorkersStored(dispatcher);
         return;
     }
     Job *job = findJob(dispatcher.jobs, tag.job);
@@ -295,6 +307,11 @@
     }
     dispatcher.workersChanged = false;
     dispatcher.workersCommitOpen = true;
+    for (WorkerSlot slot = 0; slot < dispatcher.workers.workers.size(); ++slot) {
+        if (isRecorded(dispatcher.workers.workers[slot])) {
+            dispatcher.workersBeingRecorded.push_back(slot);
+        }
+    }
     enqueue(dispatcher.commits,
         {.tag = {.kind = CommitKind::Workers},
             .writes = {{.key = std::string(workersKey), .value = encodeWorkers(dispatcher.workers)}},
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -101,6 +101,8 @@
     /// The store's record of the workers is out of date.
     bool workersChanged = false;
     bool workersCommitOpen = false;
+    /// Named by the record that is being stored.
+    std::vector<WorkerSlot> workersBeingRecorded;
     /// Something changed that may let a task start.
     bool placementDue = false;
     MonotonicTime nextPlacement{};
--- a/core/dispatch/records.cpp
+++ b/core/dispatch/records.cpp
@@ -278,11 +278,16 @@
     return applied.value_or(false);
 }
 
+bool isRecorded(const Worker &worker)
+{
+    return worker.listed || !worker.runs.empty() || !worker.ends.empty();
+}
+
 std::string encodeWorkers(const WorkerTable &table)
 {
     Json rows = Json::array();
     for (const Worker &worker : table.workers) {
-        if (worker.listed || !worker.runs.empty()) {
+        if (isRecorded(worker)) {
             const WorkerEntry &entry = worker.entry;
             rows.push_back(Json::array({entry.id, entry.endpoint.ip, entry.endpoint.port, entry.incarnation}));
         }
--- a/core/dispatch/records.h
+++ b/core/dispatch/records.h
@@ -32,6 +32,8 @@
 /// has to hear all that may hold runs.
 inline constexpr std::string_view workersKey = "wk/ctl/workers";
 std::string encodeWorkers(const WorkerTable &table);
+/// The worker is in that record: it takes starts, or holds runs or ends that are not stored.
+bool isRecorded(const Worker &worker);
 std::vector<WorkerEntry> decodeWorkers(std::string_view text, std::string &problem);
 
 /// What is kept of a job after its end.
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -43,7 +43,7 @@
 
 bool isAlive(const Worker &worker)
 {
-    return worker.listed || worker.inherited || !worker.runs.empty();
+    return worker.listed || worker.inherited || !worker.runs.empty() || !worker.ends.empty();
 }
 
 /// Acknowledgements name numbers, and a worker that is born anew under its id counts from 1 again: it would forget ends
@@ -452,10 +452,12 @@
     const std::uint32_t failures = worker.renewalFailures;
     const std::uint64_t lastEnd = worker.lastEnd;
     const std::uint64_t acknowledged = worker.acknowledged;
+    std::map<std::uint64_t, bool> ends = std::move(worker.ends);
     forgetLife(dispatcher, slot, now);
-    // It may be the same life when it comes back, with the same numbers.
+    // It may be the same life when it comes back, with the same numbers and ends that are not stored yet.
     worker.lastEnd = lastEnd;
     worker.acknowledged = acknowledged;
+    worker.ends = std::move(ends);
     worker.renewalFailures = failures;
 }
 
@@ -507,6 +509,7 @@
         worker.entry = entry;
         worker.listed = false;
         worker.inherited = true;
+        worker.recorded = true;
     }
 }
 
--- a/core/dispatch/worker_table.cpp
+++ b/core/dispatch/worker_table.cpp
@@ -42,7 +42,7 @@
 
 bool takesStarts(const Worker &worker, MonotonicTime now)
 {
-    return worker.listed && worker.greeted && !hasLateOrders(worker) && !worker.entry.draining
+    return worker.listed && worker.recorded && worker.greeted && !hasLateOrders(worker) && !worker.entry.draining
         && worker.renewalFailures == 0 && worker.health.avoidUntil <= now && worker.strangersUntil <= now;
 }
 
--- a/core/dispatch/worker_table.h
+++ b/core/dispatch/worker_table.h
@@ -75,6 +75,8 @@
     bool inherited = false;
     /// When a new life under the same id was noticed.
     MonotonicTime bornAt{};
+    /// The store's record of the workers names it, so that a next leader hears it.
+    bool recorded = false;
     /// The worker answered under this leader's token, so that older orders are refused.
     bool greeted = false;
     /// Highest token that the present life has answered to.
--- a/tests/dispatch/dispatch_recovery_test.cpp
+++ b/tests/dispatch/dispatch_recovery_test.cpp
@@ -528,3 +528,18 @@
         checkPromises(world);
     }
 }
+
+// Guards against workers that the next leader does not hear, because the record of workers was not stored before the
+// first start there: the store is away, the directory forgets them, and what they run starts again.
+TEST(DispatchRecovery, AWorkerIsRecordedBeforeItsFirstStart)
+{
+    World world(3, 2);
+    world.workers[1].unlisted = true;
+    world.run(settleTime);
+    world.workers[1].unlisted = false;
+    world.submit(0, 0xb1, oneStep(8, 1000, milliseconds(3000)), "batch");
+    CHECK(world.runUntil([&] { return !world.workers[1].runs.empty(); }, milliseconds(5000)));
+    std::string problem;
+    const auto recorded = decodeWorkers(world.store.items.at(std::string(workersKey)).value, problem);
+    CHECK_EQUAL(2, recorded.size());
+}
