workers: a start is sent once

A start without an answer was sent up to three times. Its task ended, the end was stored, acknowledged and shown; the worker was born anew under its id, knowing no token and no attempts, and a copy that was still on its way started the task again. The higher token comes too late for that: it is raised once the new life is noticed.

A start is sent once. One without an answer is settled by the worker's lists; if they don't show it, it is stopped, which rejects it for good, and the task is placed again under a new attempt.

ACopyOfAStartDoesNotRunAgainInTheNextLife failed before (the task started after it was done) and passes.

--- a/core/dispatch/task_runs.cpp
+++ b/core/dispatch/task_runs.cpp
@@ -46,7 +46,6 @@
         .timeout = orderTimeout};
     worker.startLease = std::max(worker.startLease, run.latestStart);
     worker.leaseAsked = std::max(worker.leaseAsked, run.latestStart);
-    ++run.startTries;
     run.startCallOpen = true;
     dispatcher.orders.emplace(order.call,
         OpenOrder{.isStart = true,
@@ -201,17 +200,6 @@
         freeRoom(worker).cpuMilli, place.job->record.queue.name);
 }
 
-void repeatStart(Dispatcher &dispatcher, WorkerSlot slot, const TaskKey &key, MonotonicTime now)
-{
-    const TaskPlace place = findTask(dispatcher, key);
-    Worker &worker = dispatcher.workers.workers[slot];
-    const auto run = worker.runs.find(key);
-    if (!place || run == worker.runs.end() || workerClockNow(worker, now) >= run->second.latestStart) {
-        return;
-    }
-    sendStart(dispatcher, slot, key, run->second, place);
-}
-
 void stopRun(Dispatcher &dispatcher, WorkerSlot slot, const TaskKey &key, MonotonicTime now)
 {
     Worker &worker = dispatcher.workers.workers[slot];
--- a/core/dispatch/task_runs.h
+++ b/core/dispatch/task_runs.h
@@ -31,8 +31,6 @@
 void startTask(Dispatcher &dispatcher, const TaskPlace &place, const TaskKey &key, WorkerSlot slot, MonotonicTime now);
 /// Orders the stop of a run; its room stays charged until the worker lists the end.
 void stopRun(Dispatcher &dispatcher, WorkerSlot slot, const TaskKey &key, MonotonicTime now);
-/// Repeats the order to start, which is idempotent under one attempt number.
-void repeatStart(Dispatcher &dispatcher, WorkerSlot slot, const TaskKey &key, MonotonicTime now);
 
 /// Ends the gang's present attempt; its members wait once all of them are released.
 void abortGang(Dispatcher &dispatcher, const TaskPlace &place, const StepKey &key, MonotonicTime now);
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -24,7 +24,8 @@
 constexpr milliseconds unstoredEndsDelay{300};
 /// Ends have to be acknowledged within 4 s, also by a worker that nothing runs on.
 constexpr milliseconds lastAcknowledgementDelay{1500};
-constexpr std::uint32_t maxStartTries = 3;
+/// Ends that one list shows; the platform's contract.
+constexpr std::size_t maxListedEnds = 500;
 constexpr milliseconds refusedDelay{150};
 /// After a stop without effect.
 constexpr milliseconds stopRetryDelay{500};
@@ -122,8 +123,7 @@
     for (auto &[key, run] : worker.runs) {
         run.stopCallOpen = false;
         run.listed = false;
-        // A try that had no answer may still be carried out by the new life.
-        run.confirmed = run.confirmed && run.startTries <= 1;
+        run.stopAnswered = false;
         if (!run.confirmed) {
             unanswered.push_back(key);
         }
@@ -164,15 +164,11 @@
     }
     if (reply.status == CallStatus::Unknown) {
         ++dispatcher.counters.startsUnanswered;
-        logLine(LogLevel::Info, logPart, "Start unanswered. task={} attempt={} worker={} tries={}",
-            formatTaskKey(order.task), order.attempt, worker.entry.id, run.startTries);
-        if (run.phase == RunPhase::Starting && run.startTries < maxStartTries) {
-            repeatStart(dispatcher, order.worker, order.task, now);
-        }
-        return;
-    }
-    // An earlier copy of this order may still be carried out; the lists tell.
-    if (run.startTries > 1) {
+        logLine(LogLevel::Info, logPart, "Start unanswered. task={} attempt={} worker={}", formatTaskKey(order.task),
+            order.attempt, worker.entry.id);
+        // Not sent again: a copy that is on its way could start the task once more in the worker's next life. The lists
+        // tell whether it runs.
+        worker.nextRenewal = std::min(worker.nextRenewal, now);
         return;
     }
     ++dispatcher.counters.startsRefused;
@@ -256,6 +252,11 @@
         logLine(LogLevel::Info, logPart, "Start came to nothing. task={} attempt={} worker={}", formatTaskKey(key),
             run.attempt, worker.entry.id);
         dropRun(dispatcher, slot, key, now, now);
+        return;
+    }
+    if (run.phase == RunPhase::Starting && !run.startCallOpen && run.orderedAt < sentAt) {
+        // Once the stop is answered, the start is refused for good and the task can start elsewhere.
+        stopRun(dispatcher, slot, key, now);
     }
 }
 
--- a/core/dispatch/worker_table.h
+++ b/core/dispatch/worker_table.h
@@ -41,7 +41,6 @@
     bool confirmed = false;
     /// A list of the worker's present life has shown it.
     bool listed = false;
-    std::uint32_t startTries = 0;
     bool startCallOpen = false;
     bool stopCallOpen = false;
     /// A stop was answered, so that a start under way is refused for good.
--- a/tests/dispatch/dispatch_recovery_test.cpp
+++ b/tests/dispatch/dispatch_recovery_test.cpp
@@ -543,3 +543,25 @@
     const auto recorded = decodeWorkers(world.store.items.at(std::string(workersKey)).value, problem);
     CHECK_EQUAL(2, recorded.size());
 }
+
+// Guards against a second copy of a start that was sent because the first had no answer: the run ends and is
+// acknowledged, the worker is born anew under its id, and the copy starts the task again.
+TEST(DispatchRecovery, ACopyOfAStartDoesNotRunAgainInTheNextLife)
+{
+    for (int late = 500; late < 1500; late += 50) {
+        World world(3, 1);
+        world.truth = [](const TaskKey &, std::uint32_t) { return WorldRun{.work = milliseconds(100)}; };
+        world.run(settleTime);
+        world.startDelay = milliseconds(420);
+        world.submit(0, 0xc7, oneStep(1, 1000, milliseconds(100)), "urgent");
+        world.run(milliseconds(200));
+        world.startDelay = milliseconds(late);
+        world.run(milliseconds(late + 150));
+        world.startDelay = milliseconds(0);
+        world.crashWorker(0);
+        world.restartWorker(0);
+        world.run(milliseconds(4000));
+        CHECK(isDone(world, 0, 0xc7));
+        checkPromises(world);
+    }
+}
--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds adviceSlack{500};
 /// What a large configuration takes over the link of a small VM.
 constexpr milliseconds slowTransfer{900};
+/// Ends that one answer to a look shows; the platform's contract.
+constexpr std::size_t maxListedEnds = 500;
 
 Resources plusAll(std::span<const WorldRun> runs)
 {
@@ -301,7 +303,9 @@
         .incarnation = target.entry.incarnation,
         .clock = WorkerTime(time),
         .running = {},
-        .ended = target.ends};
+        .ended = {}};
+    const std::size_t shown = std::min(target.ends.size(), maxListedEnds);
+    lists.ended.assign(target.ends.begin(), target.ends.begin() + static_cast<std::ptrdiff_t>(shown));
     for (const WorldRun &run : target.runs) {
         const auto percent = run.work.count() == 0 ? 0 : run.done.count() * 100 / run.work.count();
         lists.running.push_back({.task = run.task,
@@ -550,10 +554,17 @@
         };
         storeReply(make, callTimeout);
     } else if (const auto *started = std::get_if<StartRun>(&action)) {
+        if (startDelay > started->timeout) {
+            after(started->timeout, [this, node, id = started->call] {
+                reply(node, [id](Node &owner, Now at) {
+                    takeOrderReply(owner, {.call = id, .status = CallStatus::Unknown}, at);
+                });
+            });
+        }
         after(hop + startDelay, [this, node, started = *started] {
             const WorldWorker &target = workers[workerIndex(started.worker.id)];
             OrderReply result{.call = started.call, .status = CallStatus::Unknown};
-            if (target.up && !target.silent) {
+            if (target.up && !target.silent && !target.cutFrom.contains(node)) {
                 result = start(started);
             }
             reply(node, [result](Node &owner, Now at) { takeOrderReply(owner, result, at); });
@@ -562,7 +573,7 @@
         after(hop, [this, node, stopped = *stopped] {
             const WorldWorker &target = workers[workerIndex(stopped.worker.id)];
             OrderReply result{.call = stopped.call, .status = CallStatus::Unknown};
-            if (target.up && !target.silent) {
+            if (target.up && !target.silent && !target.cutFrom.contains(node)) {
                 result = stop(stopped);
             }
             reply(node, [result](Node &owner, Now at) { takeOrderReply(owner, result, at); });
@@ -574,7 +585,8 @@
         }
         after(hop, [this, node, late, renewal = *renewal] {
             const std::size_t worker = workerIndex(renewal.worker.id);
-            if (late || !workers[worker].up || workers[worker].silent || workers[worker].mute) {
+            if (late || !workers[worker].up || workers[worker].silent || workers[worker].mute
+                || workers[worker].cutFrom.contains(node)) {
                 if (workers[worker].mute && !late) {
                     look(worker, renewal);
                 }
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -42,6 +42,8 @@
     bool failsAll = false;
     /// Runs make no progress.
     bool standsStill = false;
+    /// Daemons whose links to the worker are cut.
+    std::set<std::size_t> cutFrom;
     std::uint64_t token = 0;
     std::vector<WorldRun> runs;
     std::vector<EndedTask> ends;
