leadership: leases are extended only while no successor can have waited for their end

Leases are extended and tasks started while the store confirmed the claim within 0.95 s, or every other daemon was heard within that time and doesn't reach the store either, as in an outage for all. Otherwise work goes on under the leases that it has.

--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -92,6 +92,8 @@
     /// When the last renewal of the claim that the store confirmed was sent. A lease later another daemon may lead and
     /// know jobs that this one doesn't.
     MonotonicTime claimConfirmedAt{};
+    /// No other daemon can have claimed long enough ago to start elsewhere what this one keeps running.
+    bool mayExtend = true;
     /// All records of ended jobs were read, so that an unknown id is surely new.
     bool endsLoaded = false;
     /// A worker's new life may still get orders that were meant for the one before; a higher token ends that.
--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -222,6 +222,19 @@
     }
 }
 
+/// Leases are extended and tasks started only while that can't collide with a successor's orders.
+void noteClaimState(Node &node, Now now)
+{
+    const bool sure = isClaimSure(node, now);
+    if (sure != node.dispatcher->mayExtend) {
+        node.dispatcher->mayExtend = sure;
+        node.dispatcher->placementDue = true;
+        logLine(LogLevel::Info, logPart, "Leases are {}. token={} claim_confirmed_ms_ago={}",
+            sure ? "extended again" : "not extended, another daemon may lead", node.dispatcher->token,
+            std::chrono::floor<milliseconds>(now.monotonic - node.dispatcher->claimConfirmedAt).count());
+    }
+}
+
 void refreshAdviceLines(Node &node)
 {
     if (!node.dispatcher) {
@@ -254,7 +267,8 @@
 void takePresence(Node &node, std::string_view from, const Presence &presence, Now now)
 {
     Leadership &leadership = node.leadership;
-    node.peers[std::string(from)] = {.cpuMilli = presence.cpuMilli, .storeFailing = presence.storeFailing};
+    node.peers[std::string(from)]
+        = {.cpuMilli = presence.cpuMilli, .storeFailing = presence.storeFailing, .heardAt = now.monotonic};
     if (from == leadership.leader.node && !isLeading(node)) {
         if (presence.leader.token == 0 && leadership.leaderConnected) {
             // The leader has resigned; its claim is gone or about to be.
@@ -480,6 +494,7 @@
     tickWorkers(node, now);
     // Before the jobs are inherited, the workers' lists would be taken for those of unknown jobs.
     if (isLeading(node)) {
+        noteClaimState(node, now);
         doUpkeep(*node.dispatcher, now);
         if (node.dispatcher->deposed) {
             stepDown(node, StepDown::Replaced, "a newer leader's orders or records were seen", now);
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -165,6 +165,7 @@
 {
     std::int64_t cpuMilli = 0;
     bool storeFailing = false;
+    MonotonicTime heardAt{};
 };
 
 struct WorkerPoll
--- a/core/dispatch/placement.cpp
+++ b/core/dispatch/placement.cpp
@@ -703,7 +703,7 @@
 void placeTasks(Dispatcher &dispatcher, MonotonicTime now)
 {
     dispatcher.placementDue = false;
-    if (dispatcher.deposed) {
+    if (dispatcher.deposed || !dispatcher.mayExtend) {
         return;
     }
     // Pattern: a backlog after an outage. More starts at one time than the loop can settle would hold up everything
--- a/core/dispatch/succession.cpp
+++ b/core/dispatch/succession.cpp
@@ -32,6 +32,8 @@
 constexpr milliseconds handoverGrace{1500};
 /// If the larger VM did not manage to lead, it is not tried again before this.
 constexpr milliseconds handoverInterval{15000};
+/// Less than a takeover adds to the leases that it waits for (1 s), by the time of a round trip.
+constexpr milliseconds claimCover{950};
 
 milliseconds claimDelay(Node &node)
 {
@@ -132,6 +134,20 @@
     return now.monotonic >= leadership.claimAt;
 }
 
+bool isClaimSure(const Node &node, Now now)
+{
+    if (now.monotonic - node.dispatcher->claimConfirmedAt < claimCover) {
+        return true;
+    }
+    const std::vector<Member> &members = node.membership.members;
+    return !members.empty() && std::ranges::all_of(members, [&](const Member &member) {
+        const auto peer = node.peers.find(member.name);
+        const bool away = peer != node.peers.end() && peer->second.storeFailing
+            && now.monotonic - peer->second.heardAt < claimCover;
+        return member.name == node.options.name || away;
+    });
+}
+
 std::string_view reasonToResign(Node &node, Now now)
 {
     if (isLongIsolated(node, now)) {
--- a/core/dispatch/succession.h
+++ b/core/dispatch/succession.h
@@ -30,4 +30,9 @@
 /// Why this leader should make room for another; empty if it should not.
 std::string_view reasonToResign(Node &node, Now now);
 
+/// True while no other daemon can lead whose takeover doesn't wait for the leases that this leader extends now: the
+/// store confirmed the claim within the time that a takeover adds to a lease, or every other daemon was heard a moment
+/// ago and doesn't reach the store either.
+bool isClaimSure(const Node &node, Now now);
+
 } // namespace wigeonkeel::dispatch
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -398,8 +398,10 @@
         call.timeout = renewalSlack;
     } else if (known) {
         const milliseconds lease = std::min(dispatcher.bounds.workerLease, dispatcher.bounds.maxWorkerLease);
-        call.leaseUntil = workerClockNow(worker, now) + lease;
-        worker.leaseAsked = std::max(worker.leaseAsked, call.leaseUntil);
+        if (dispatcher.mayExtend) {
+            call.leaseUntil = workerClockNow(worker, now) + lease;
+            worker.leaseAsked = std::max(worker.leaseAsked, call.leaseUntil);
+        }
         const bool proofDue
             = std::ranges::any_of(worker.runs, [](const auto &entry) { return awaitsProof(entry.second); });
         const bool waits = !worker.runs.empty() && worker.ends.empty() && !proofDue && !hasLateOrders(worker);
--- a/tests/dispatch/dispatch_recovery_test.cpp
+++ b/tests/dispatch/dispatch_recovery_test.cpp
@@ -565,3 +565,27 @@
         checkPromises(world);
     }
 }
+
+// Guards against two runs of one task on both sides of a cut: a leader that reaches neither the store nor its successor
+// goes on renewing the leases of workers that the successor can't hear, while the successor waits no longer than a
+// lease from its own claim on.
+TEST(DispatchRecovery, ALeaderWithoutAClaimDoesNotKeepRunsThatItsSuccessorCannotHear)
+{
+    World world(2, 4);
+    world.run(settleTime);
+    const std::size_t former = world.leaderIndex();
+    const std::size_t successor = otherThan(former);
+    world.submit(former, 0xc1, oneStep(2, 1000, milliseconds(15000)), "batch");
+    world.run(milliseconds(500));
+    world.store.refused.insert(former);
+    world.nodes[former].deaf = true;
+    world.nodes[successor].deaf = true;
+    for (WorldWorker &worker : world.workers) {
+        if (!worker.runs.empty()) {
+            worker.cutFrom.insert(successor);
+        }
+    }
+    world.run(milliseconds(9000));
+    CHECK_EQUAL(successor, world.leaderIndex());
+    checkPromises(world);
+}
