dispatch: long lists, late ends of a gang, lost answers to a claim

- RunsWhoseEndsDoNotFitIntoTheListAreNotLost: a list shows 500 ends, and runs that had ended beyond those were taken for lost and started again (1,800 starts for 1,200 tasks).
A full list proves nothing about runs that it doesn't show.
- EndsOfAllMembersOfAGangAreAcknowledged: a member's end that was listed after the record of another member's end was queued waited for a record that nobody wrote.
- LooksAtANewLifeArePacedWhileTheStoreIsAway: looks followed each other without a pause.
- ALostAnswerToANewTokenIsNotTakenForAnotherLeader: a leader resigned because of its own write.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -245,9 +245,6 @@
 {
     dispatcher.workersCommitOpen = false;
     dispatcher.placementDue = true;
-    for (Worker &worker : dispatcher.workers.workers) {
-        worker.recorded = false;
-    }
     for (const WorkerSlot slot : std::exchange(dispatcher.workersBeingRecorded, {})) {
         dispatcher.workers.workers[slot].recorded = true;
     }
@@ -308,8 +305,11 @@
     dispatcher.workersChanged = false;
     dispatcher.workersCommitOpen = true;
     for (WorkerSlot slot = 0; slot < dispatcher.workers.workers.size(); ++slot) {
-        if (isRecorded(dispatcher.workers.workers[slot])) {
+        Worker &worker = dispatcher.workers.workers[slot];
+        if (isRecorded(worker)) {
             dispatcher.workersBeingRecorded.push_back(slot);
+        } else {
+            worker.recorded = false;
         }
     }
     enqueue(dispatcher.commits,
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -87,8 +87,15 @@
     readControl(node, StorePurpose::ClaimControl, false);
 }
 
+bool belongsToTerm(StorePurpose purpose)
+{
+    return purpose >= StorePurpose::ClaimControl && purpose <= StorePurpose::ReclaimWrite;
+}
+
 void abandonClaim(Node &node, MonotonicTime now)
 {
+    // A reply that is still on its way must not be taken for one of the next term.
+    absl::erase_if(node.storeCalls, [](const auto &entry) { return belongsToTerm(entry.second); });
     setPhase(node, ClaimPhase::Following, now);
     node.leadership.loadedJobs.clear();
     node.leadership.loadedProgress.clear();
@@ -437,6 +444,10 @@
         takeNewToken(node, present.token, now);
         return;
     }
+    if (claim == nullptr && term != nullptr && term->value == node.options.name) {
+        // This daemon's write before took effect without an answer, and its lease has ended since.
+        leadership.term = termRevision;
+    }
     if (termRevision != leadership.term) {
         logLine(LogLevel::Warning, logPart,
             "Another daemon has led since the claim was written. term={} present_term={}", leadership.term,
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -353,6 +353,12 @@
     const bool mustStore = job != nullptr && !job->endStored;
     worker.ends[ended.number] = !mustStore;
     if (mustStore) {
+        if (!job->progressChanged && !isEnded(job->state)) {
+            // The record that covers this end may be stored or under way already; the next one acknowledges it.
+            job->progressChanged = true;
+            job->commitAfter = now;
+            dispatcher.unstoredJobs.insert(job->record.id);
+        }
         job->unstoredEnds.push_back({.worker = slot, .incarnation = worker.entry.incarnation, .number = ended.number});
     }
 }
@@ -366,6 +372,10 @@
     for (const RunningTask &running : reply.running) {
         takeRunning(dispatcher, slot, running, now);
     }
+    // A full list may leave ends out, so it doesn't prove that a run is gone.
+    if (reply.ended.size() >= maxListedEnds) {
+        return;
+    }
     Worker &worker = dispatcher.workers.workers[slot];
     std::vector<TaskKey> missing;
     for (const auto &entry : worker.runs) {
@@ -428,7 +438,8 @@
         // The store's answer sets this to now.
         worker.nextRenewal = now + unstoredEndsDelay;
     } else if (!worker.runs.empty()) {
-        worker.nextRenewal = now;
+        // The higher token that the worker waits for asks for a look by itself.
+        worker.nextRenewal = hasLateOrders(worker) ? now + unstoredEndsDelay : now;
     } else if (worker.acknowledgementSent < worker.lastEnd) {
         worker.nextRenewal = now + lastAcknowledgementDelay;
     } else {
@@ -603,6 +614,7 @@
         return;
     }
     if (reply.incarnation < worker.entry.incarnation) {
+        worker.nextRenewal = now + failedRenewalDelay;
         return;
     }
     if (reply.incarnation > worker.entry.incarnation) {
--- a/tests/dispatch/dispatch_recovery_test.cpp
+++ b/tests/dispatch/dispatch_recovery_test.cpp
@@ -589,3 +589,85 @@
     CHECK_EQUAL(successor, world.leaderIndex());
     checkPromises(world);
 }
+
+// Guards against the end of a gang's member that no record waits for any more, because the list came after the record
+// of the other member's end was queued: the end is never acknowledged while the job's next step runs.
+TEST(DispatchRecovery, EndsOfAllMembersOfAGangAreAcknowledged)
+{
+    World world(3, 4);
+    world.truth = [](const TaskKey &task, std::uint32_t) {
+        return WorldRun{.work = milliseconds(task.step.step == 1 ? 20000 : 400 + 200 * task.index)};
+    };
+    world.run(settleTime);
+    StepSpec gang = stepOf(2, 3000, milliseconds(400));
+    gang.gang = true;
+    StepSpec next = stepOf(1, 1000, milliseconds(20000));
+    next.after = {0};
+    world.submit(0, 0xc2, {.payload = "p", .steps = {gang, next}}, "batch");
+    world.run(milliseconds(6000));
+    for (const WorldWorker &worker : world.workers) {
+        CHECK_EQUAL(0, worker.ends.size());
+    }
+}
+
+// Guards against looks that follow each other without a pause while the store is away and a worker that was born anew
+// waits for a higher token: each look is priced.
+TEST(DispatchRecovery, LooksAtANewLifeArePacedWhileTheStoreIsAway)
+{
+    World world(3, 1);
+    world.truth = [](const TaskKey &, std::uint32_t) { return WorldRun{.work = milliseconds(20000)}; };
+    world.run(settleTime);
+    world.startDelay = milliseconds(60);
+    world.submit(0, 0xc3, oneStep(1, 1000, milliseconds(20000)), "batch");
+    world.run(milliseconds(40));
+    world.crashWorker(0);
+    world.restartWorker(0);
+    world.store.silent = true;
+    world.run(milliseconds(400));
+    CHECK_EQUAL(1, world.workers[0].runs.size());
+    const std::size_t before = world.looks;
+    world.run(milliseconds(2000));
+    CHECK(world.looks - before < 20);
+}
+
+// Guards against ends that don't fit into one list: a worker shows 500 at a time, and runs that have ended beyond those
+// are taken for lost and started again while the store is away.
+TEST(DispatchRecovery, RunsWhoseEndsDoNotFitIntoTheListAreNotLost)
+{
+    World world(3, 2);
+    world.run(settleTime);
+    StepSpec small = stepOf(1200, 5, milliseconds(1500));
+    small.size.memoryMib = 1;
+    world.submit(0, 0xc4, {.payload = "p", .steps = {small}}, "batch");
+    world.run(milliseconds(1000));
+    world.store.silent = true;
+    world.run(milliseconds(4000));
+    world.store.silent = false;
+    world.run(milliseconds(6000));
+    CHECK_EQUAL(1200, world.starts);
+    checkPromises(world);
+}
+
+// Guards against a leader that resigns because of its own write: the answer to a claim under a new token was lost, and
+// the claim's lease is revoked before the next try.
+TEST(DispatchRecovery, ALostAnswerToANewTokenIsNotTakenForAnotherLeader)
+{
+    World world(3, 2);
+    world.run(settleTime);
+    const std::size_t leader = world.leaderIndex();
+    world.submit(leader, 0xc6, oneStep(2, 1000, milliseconds(10000)), "batch");
+    world.run(milliseconds(500));
+    const std::uint64_t token = world.store.items.at("wk/ctl/term").revision;
+    world.store.lostAnswers = 100;
+    world.crashWorker(1);
+    world.restartWorker(1);
+    CHECK(world.runUntil([&] { return world.store.items.at("wk/ctl/term").revision > token; }, milliseconds(3000)));
+    for (auto &[lease, ends] : world.store.leases) {
+        ends.first = world.time;
+    }
+    world.store.lostAnswers = 0;
+    for (int i = 0; i < 300; ++i) {
+        world.run(milliseconds(10));
+        CHECK(isLeading(*world.nodes[leader].node));
+    }
+}
