dispatch: all calls are answered before a process that shuts down ends

Cause: the process ends 0.7 s before the end of the grace time, whether or not calls wait. Calls that have no leader wait up to 1.1 s for one, and calls that a leader has wait until shortly before the client's deadline of 3 s; neither regarded the end of the process.

Fix: the shutdown sets a time by which calls end, 0.2 s before the process does, and it bounds each call as the client's deadline does. A call that no leader was given is refused by then, one that a leader was given ends as unknown, and no call is handed on whose answer would come too late. Calls that come last are refused at once. The process is then idle and ends by itself.

CallsWithoutALeaderAreRefusedBeforeTheProcessEnds, CallsThatALeaderHasAreAnsweredBeforeTheProcessEnds and ACallInTheLastMomentIsRefusedAtOnceAndNotHandedOn failed before and pass. CallsAreHandedOnUntilShortlyBeforeTheEnd passed before as well; it guards the fix.

Not changed: while all daemons shut down, none leads, and clients get 503 until the first one is back.

--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -42,6 +42,9 @@
 /// short: the last try of a client may have a tenth of a second, which is enough for an acceptance.
 constexpr milliseconds answerMargin{150};
 constexpr int shortTimePart = 4;
+/// A process that shuts down has answered all calls this long before the platform kills it. It ends by itself 0.2 s
+/// later, which is the time to write the answers.
+constexpr milliseconds callsEndMargin{900};
 /// Without word from the leader for this long, the daemon is not ready for new connections.
 constexpr milliseconds readyWithoutLeader{3000};
 
@@ -55,8 +58,20 @@
     }
 }
 
+/// When the call is answered although its outcome is not known.
+MonotonicTime answerDue(const Node &node, const EntryCall &entry)
+{
+    const MonotonicTime until = std::min(entry.deadline, node.callsEndAt);
+    const auto margin = std::min<MonotonicTime::duration>(answerMargin, (until - entry.takenAt) / shortTimePart);
+    return until - std::max(margin, MonotonicTime::duration::zero());
+}
+
 void giveToLeader(Node &node, EntryCall &entry, Now now)
 {
+    if (now.monotonic >= answerDue(node, entry)) {
+        // The leader's answer would come too late. A call that no leader was given can be refused instead.
+        return;
+    }
     if (isLeading(node)) {
         entry.sent = true;
         entry.everSent = true;
@@ -96,9 +111,7 @@
 {
     std::vector<ClientAnswer> expired;
     for (const auto &[call, entry] : node.entries) {
-        const auto margin
-            = std::min<MonotonicTime::duration>(answerMargin, (entry.deadline - entry.takenAt) / shortTimePart);
-        const bool late = now.monotonic >= entry.deadline - margin;
+        const bool late = now.monotonic >= answerDue(node, entry);
         const bool leaderless = !entry.everSent && now.monotonic - entry.takenAt > leaderPatience;
         if (late && entry.everSent) {
             expired.push_back({.call = call, .outcome = ClientOutcome::Unknown});
@@ -503,6 +516,7 @@
 {
     logLine(LogLevel::Info, logPart, "Shutdown begins. leads={} open_calls={}", isLeading(node), node.entries.size());
     node.shuttingDown = true;
+    node.callsEndAt = now.monotonic + node.options.shutdownGrace - callsEndMargin;
     if (node.dispatcher) {
         stepDown(node, StepDown::Resigns, "shutdown", now);
     }
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -201,6 +201,8 @@
     /// Told to the followers.
     bool storeFailing = false;
     bool shuttingDown = false;
+    /// By then all clients' calls are answered, because the process ends; never, unless it shuts down.
+    MonotonicTime callsEndAt = MonotonicTime::max();
     Endpoint dialled;
     MonotonicTime nextSeed{};
 };
@@ -229,7 +231,7 @@
 /// Timers. Call often; each part has its own interval.
 void tick(Node &node, Now now);
 
-/// Gives up leadership and readiness; open calls are still answered.
+/// Gives up leadership and readiness. Calls are still taken, and all of them are answered before `callsEndAt`.
 void beginShutdown(Node &node, Now now);
 
 /// Actions since the last call, with the answers to other daemons' clients sent on their way.
