dispatch: records, claims and submissions with numbers out of range are named

- Record of workers: a port of 70000 was read as 4464.
One row that can't be read hid all others, so that a successor inherited no worker.
Rows are now read one by one.
- Claims: a port that is no number from 1 to 65535 left the port 0.
Such a claim names no leader, like any other text that is no claim.
- Members: a value that is no amount of processor ranks last, also if the member had another before.
A key without the prefix threw std::out_of_range, which ended the process.

OddMembersRankLastAndTheOthersHold aborted before and passes. No test fails without the change to claims.

--- a/core/dispatch/configuration.h
+++ b/core/dispatch/configuration.h
@@ -13,6 +13,9 @@
 namespace wigeonkeel::dispatch
 {
 
+/// Far above what operators set; with the longest estimates, times of jobs stay below 2^63 milliseconds.
+inline constexpr double maxStretch = 1000.0;
+
 /// How long the external placement adviser takes, and how long its tickets are good.
 struct AdviceTimes
 {
--- a/core/dispatch/job_spec.cpp
+++ b/core/dispatch/job_spec.cpp
@@ -1,5 +1,7 @@
 #include "core/dispatch/job_spec.h"
 
+#include "core/number_text.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -17,6 +19,9 @@
 constexpr std::size_t maxSteps = 256;
 constexpr std::uint32_t maxTasksOfStep = 10000;
 constexpr std::size_t maxPayloadBytes = 4000;
+/// Two years of an occurrence each minute. The due time of the last one, at most this many times the longest interval,
+/// stays below 2^63 milliseconds.
+constexpr std::uint32_t maxOccurrences = 1U << 20;
 
 std::string findStepProblem(const StepSpec &step, std::size_t number)
 {
@@ -34,16 +39,6 @@
     return {};
 }
 
-std::optional<std::uint32_t> parseNumber(std::string_view text)
-{
-    std::uint32_t value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 } // namespace
 
 std::string findSpecProblem(const JobSpec &spec)
@@ -54,6 +49,10 @@
     if (spec.payload.size() > maxPayloadBytes) {
         return fmt::format("expected at most {} bytes of payload, found {}", maxPayloadBytes, spec.payload.size());
     }
+    if (spec.repeatCount > maxOccurrences || spec.interval.count() < 0) {
+        return fmt::format("expected at most {} occurrences and no negative interval, found {} and {} ms",
+            maxOccurrences, spec.repeatCount, spec.interval.count());
+    }
     for (std::size_t number = 0; number < spec.steps.size(); ++number) {
         std::string problem = findStepProblem(spec.steps[number], number);
         if (!problem.empty()) {
@@ -98,7 +97,8 @@
     std::string_view rest = text.substr(idDigits + 1);
     for (std::size_t i = 0; i < numbers.size(); ++i) {
         const std::size_t dot = i + 1 < numbers.size() ? rest.find('.') : rest.size();
-        const auto number = dot == std::string_view::npos ? std::nullopt : parseNumber(rest.substr(0, dot));
+        const auto number
+            = dot == std::string_view::npos ? std::nullopt : parseInteger<std::uint32_t>(rest.substr(0, dot));
         if (!number) {
             return std::nullopt;
         }
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -3,9 +3,9 @@
 #include "core/dispatch/records.h"
 #include "core/dispatch/succession.h"
 #include "core/log.h"
+#include "core/number_text.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include <fmt/format.h>
 
@@ -64,7 +64,11 @@
     }
     leader.node = item.value.substr(0, first);
     leader.endpoint.ip = item.value.substr(first + 1, second - first - 1);
-    std::from_chars(item.value.data() + second + 1, item.value.data() + item.value.size(), leader.endpoint.port);
+    const auto port = parseInteger<std::uint16_t>(std::string_view(item.value).substr(second + 1));
+    if (!port || *port == 0) {
+        return {};
+    }
+    leader.endpoint.port = *port;
     return leader;
 }
 
--- a/core/dispatch/records.cpp
+++ b/core/dispatch/records.cpp
@@ -1,10 +1,10 @@
 #include "core/dispatch/records.h"
 
 #include "core/json_text.h"
+#include "core/number_text.h"
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 #include <fmt/format.h>
 
@@ -16,6 +16,7 @@
 
 using Json = nlohmann::json;
 
+constexpr IntegerRange microsRange{.least = 0, .most = durationRange.most * 1000};
 /// Bits of the record's flags.
 constexpr std::uint32_t flagCheckpointed = 1;
 constexpr std::uint32_t flagGang = 2;
@@ -68,16 +69,16 @@
 
 StepSpec stepFromJson(const Json &json)
 {
-    const auto flags = json.at("flags").get<std::uint32_t>();
-    return {.count = json.at("n").get<std::uint32_t>(),
-        .size = {.cpuMilli = json.at("cpu").get<std::int64_t>(),
-            .memoryMib = json.at("mem").get<std::int64_t>(),
-            .accelerators = json.value("acc", std::int64_t{0})},
-        .estimate = milliseconds(json.at("est").get<std::int64_t>()),
-        .after = json.value("after", std::vector<std::uint32_t>{}),
+    const auto flags = readCount(json.at("flags"), "flags");
+    return {.count = readCount(json.at("n"), "n"),
+        .size = {.cpuMilli = readInteger(json.at("cpu"), "cpu", amountRange),
+            .memoryMib = readInteger(json.at("mem"), "mem", amountRange),
+            .accelerators = integerOr(json, "acc", 0, amountRange)},
+        .estimate = readMillis(json.at("est"), "est"),
+        .after = countsOf(json, "after"),
         .requiredLabel = json.value("label", std::string()),
         .dataRack = json.value("rack", std::string()),
-        .maxPerWorker = json.value("spread", 0U),
+        .maxPerWorker = countOr(json, "spread", 0),
         .checkpointed = (flags & flagCheckpointed) != 0,
         .gang = (flags & flagGang) != 0,
         .sameRack = (flags & flagSameRack) != 0,
@@ -85,8 +86,8 @@
         .longRunning = (flags & flagLongRunning) != 0,
         .fillsIdle = (flags & flagFillsIdle) != 0,
         .image = json.value("image", std::string()),
-        .tailTarget = milliseconds(json.value("tail", std::int64_t{0})),
-        .mayBeAway = json.value("away", 0U)};
+        .tailTarget = millisOr(json, "tail"),
+        .mayBeAway = countOr(json, "away", 0)};
 }
 
 Json toJson(const QueueConfig &queue)
@@ -106,16 +107,16 @@
         .host = {},
         .pathPrefix = {},
         .pool = json.at("pool").get<std::string>(),
-        .priority = json.at("prio").get<std::uint32_t>(),
-        .maxAttempts = json.at("tries").get<std::uint32_t>(),
-        .stretch = json.at("stretch").get<double>(),
-        .target = milliseconds(json.at("target").get<std::int64_t>()),
+        .priority = readCount(json.at("prio"), "prio"),
+        .maxAttempts = readCount(json.at("tries"), "tries"),
+        .stretch = readReal(json.at("stretch"), "stretch", 0.0, maxStretch),
+        .target = readMillis(json.at("target"), "target"),
         .advice = {}};
     if (json.contains("advice")) {
         const Json &times = json.at("advice");
-        queue.advice = {.base = std::chrono::microseconds(times.at(0).get<std::int64_t>()),
-            .perWorker = std::chrono::microseconds(times.at(1).get<std::int64_t>()),
-            .ticketValidity = milliseconds(times.at(2).get<std::int64_t>())};
+        queue.advice = {.base = std::chrono::microseconds(readInteger(times.at(0), "advice", microsRange)),
+            .perWorker = std::chrono::microseconds(readInteger(times.at(1), "advice", microsRange)),
+            .ticketValidity = readMillis(times.at(2), "advice")};
     }
     return queue;
 }
@@ -143,7 +144,7 @@
 bool applyStep(StepRun &step, const Json &json)
 {
     for (const Json &index : json.at("done")) {
-        const auto place = index.get<std::size_t>();
+        const auto place = readCount(index, "done");
         if (place >= step.tasks.size() || step.tasks[place].phase == TaskPhase::Done) {
             return false;
         }
@@ -152,23 +153,23 @@
         --step.waiting;
     }
     for (const Json &row : json.at("tried")) {
-        const auto place = row.at(0).get<std::size_t>();
+        const auto place = readCount(row.at(0), "tried");
         if (place >= step.tasks.size()) {
             return false;
         }
         Task &task = step.tasks[place];
-        task.failedAttempts = row.at(1).get<std::vector<std::uint32_t>>();
-        task.attempt = row.at(2).get<std::uint32_t>();
+        task.failedAttempts = readCounts(row.at(1), "failed");
+        task.attempt = readCount(row.at(2), "attempt");
         task.checkpoint = row.at(3).get<std::string>();
         step.gangAttempt = std::max(step.gangAttempt, task.attempt);
     }
-    step.gangFailedAttempts = json.value("gang", std::vector<std::uint32_t>{});
+    step.gangFailedAttempts = countsOf(json, "gang");
     return true;
 }
 
 bool applyOccurrence(Job &job, const Json &json)
 {
-    Occurrence occurrence = makeOccurrence(job.record.spec, json.at("k").get<std::uint32_t>());
+    Occurrence occurrence = makeOccurrence(job.record.spec, readCount(json.at("k"), "k"));
     const Json &steps = json.at("steps");
     if (steps.size() != occurrence.steps.size()) {
         return false;
@@ -184,6 +185,14 @@
     return true;
 }
 
+std::optional<WorkerEntry> workerFromRow(const Json &row)
+{
+    const std::int64_t port = readInteger(row.at(2), "port", portRange);
+    return WorkerEntry{.id = row.at(0).get<std::string>(),
+        .endpoint = {.ip = row.at(1).get<std::string>(), .port = static_cast<std::uint16_t>(port)},
+        .incarnation = readInteger(row.at(3), "incarnation", clockRange)};
+}
+
 constexpr std::array<std::pair<JobState, std::string_view>, 3> endTexts
     = {{{JobState::Done, "done"}, {JobState::Failed, "failed"}, {JobState::Cancelled, "cancelled"}}};
 
@@ -235,16 +244,16 @@
         }
         JobRecord record{.id = *id,
             .queue = queueFromJson(json.at("queue")),
-            .submittedAt = WallTime(milliseconds(json.at("at").get<std::int64_t>())),
+            .submittedAt = WallTime(readMillis(json.at("at"), "at", clockRange)),
             .spec = {.payload = json.at("payload").get<std::string>()}};
         for (const Json &step : json.at("steps")) {
             record.spec.steps.push_back(stepFromJson(step));
         }
         if (json.contains("repeat")) {
             const Json &repeat = json.at("repeat");
-            record.spec.repeatCount = repeat.at(0).get<std::uint32_t>();
-            record.spec.firstDue = WallTime(milliseconds(repeat.at(1).get<std::int64_t>()));
-            record.spec.interval = milliseconds(repeat.at(2).get<std::int64_t>());
+            record.spec.repeatCount = readCount(repeat.at(0), "repeat");
+            record.spec.firstDue = WallTime(readMillis(repeat.at(1), "repeat", clockRange));
+            record.spec.interval = readMillis(repeat.at(2), "repeat");
         }
         return record;
     });
@@ -267,8 +276,8 @@
 {
     const auto applied = decodeJson<bool>(text, problem, [&job](const Json &json) -> std::optional<bool> {
         job.occurrences.clear();
-        job.nextOccurrence = json.at("next").get<std::uint32_t>();
-        job.occurrencesDone = json.at("past").get<std::uint32_t>();
+        job.nextOccurrence = readCount(json.at("next"), "next");
+        job.occurrencesDone = readCount(json.at("past"), "past");
         const Json &runs = json.at("runs");
         return std::ranges::all_of(runs, [&job](const Json &run) { return applyOccurrence(job, run); });
     });
@@ -297,12 +306,13 @@
 
 std::vector<WorkerEntry> decodeWorkers(std::string_view text, std::string &problem)
 {
-    const auto entries = decodeJson<std::vector<WorkerEntry>>(text, problem, [](const Json &rows) {
+    const auto entries = decodeJson<std::vector<WorkerEntry>>(text, problem, [&problem](const Json &rows) {
         std::vector<WorkerEntry> result;
         for (const Json &row : rows) {
-            result.push_back({.id = row.at(0).get<std::string>(),
-                .endpoint = {.ip = row.at(1).get<std::string>(), .port = row.at(2).get<std::uint16_t>()},
-                .incarnation = row.at(3).get<std::int64_t>()});
+            auto entry = decodeValue<WorkerEntry>(row, problem, workerFromRow);
+            if (entry) {
+                result.push_back(std::move(*entry));
+            }
         }
         return std::optional(std::move(result));
     });
@@ -325,14 +335,12 @@
     const std::size_t space = text.find(' ');
     const auto found
         = std::ranges::find(endTexts, text.substr(0, space), &std::pair<JobState, std::string_view>::second);
-    std::int64_t endedAt = 0;
-    const char *last = text.data() + text.size();
-    const bool hasTime
-        = space != std::string_view::npos && std::from_chars(text.data() + space + 1, last, endedAt).ptr == last;
-    if (found == endTexts.end() || !hasTime) {
+    const auto endedAt
+        = space == std::string_view::npos ? std::nullopt : parseInteger<std::int64_t>(text.substr(space + 1));
+    if (found == endTexts.end() || !endedAt || *endedAt < clockRange.least || *endedAt > clockRange.most) {
         return std::nullopt;
     }
-    return EndRecord{.state = found->first, .endedAt = WallTime(milliseconds(endedAt))};
+    return EndRecord{.state = found->first, .endedAt = WallTime(milliseconds(*endedAt))};
 }
 
 } // namespace wigeonkeel::dispatch
--- a/core/dispatch/succession.cpp
+++ b/core/dispatch/succession.cpp
@@ -1,9 +1,10 @@
 #include "core/dispatch/succession.h"
 
 #include "core/dispatch/node.h"
+#include "core/json_text.h"
+#include "core/number_text.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace wigeonkeel::dispatch
 {
@@ -82,13 +83,17 @@
         member.listed = false;
     }
     for (const StoreItem &item : items) {
+        if (!item.key.starts_with(prefix)) {
+            continue;
+        }
         const std::string name = item.key.substr(prefix.size());
         auto member = std::ranges::find(members, name, &Member::name);
         if (member == members.end()) {
             member = members.insert(members.end(), Member{.name = name});
         }
-        // Text that is no number leaves the rank of a VM without processor, the last one.
-        std::from_chars(item.value.data(), item.value.data() + item.value.size(), member->cpuMilli);
+        // Text that is no amount of processor gives the last rank, that of a VM without any.
+        const std::int64_t cpuMilli = parseInteger<std::int64_t>(item.value).value_or(0);
+        member->cpuMilli = cpuMilli >= amountRange.least && cpuMilli <= amountRange.most ? cpuMilli : 0;
         member->listed = true;
         member->listedAt = now.monotonic;
     }
--- a/tests/dispatch/succession_test.cpp
+++ b/tests/dispatch/succession_test.cpp
@@ -1,3 +1,4 @@
+#include "core/dispatch/succession.h"
 #include "tests/dispatch/dispatch_world.h"
 
 #include <CppUTest/TestHarness.h>
@@ -125,3 +126,20 @@
         CHECK(world.violations.empty());
     }
 }
+
+// Guards against an entry among the daemons' own that ends the process or gives a rank that no VM has.
+TEST(DispatchSuccession, OddMembersRankLastAndTheOthersHold)
+{
+    World world(1, 0);
+    Node &node = *world.nodes[0].node;
+    const std::vector<StoreItem> items = {{.key = "m/a", .value = "500", .revision = 1},
+        {.key = "m/b", .value = "90x", .revision = 1}, {.key = "m/c", .value = "99999999999999999999", .revision = 1},
+        {.key = "m/d", .value = "-9223372036854775808", .revision = 1}, {.key = "m", .value = "7", .revision = 1},
+        {.key = "", .value = "8", .revision = 1}, {.key = "m/e", .value = "600", .revision = 1}};
+    node.membership.members.clear();
+    rememberMembers(node, items, "m/", world.now());
+    const std::vector<Member> &members = node.membership.members;
+    CHECK_EQUAL(5U, members.size());
+    CHECK(members[0].cpuMilli == 500 && members[4].cpuMilli == 600);
+    CHECK(members[1].cpuMilli == 0 && members[2].cpuMilli == 0 && members[3].cpuMilli == 0);
+}
