--- a/main/wigeonkeel_entry.cpp
+++ b/main/wigeonkeel_entry.cpp
@@ -1,4 +1,5 @@
 #include "core/dispatch/dispatch_kernel.h"
+#include "core/json_text.h"
 #include "core/log.h"
 #include "core/running_plugins.h"
 #include "drivers/clock/system_clock.h"
@@ -87,7 +88,13 @@
         .settleTimer = {loop, [&kernel] { settle(kernel); }}};
     kernel.node.options = settings.node;
     if (const std::string advertised = absl::GetFlag(FLAGS_advertise); !advertised.empty()) {
-        kernel.node.options.endpoint = platform::readEndpoint(advertised);
+        const auto endpoint = platform::readEndpoint(advertised);
+        if (!endpoint) {
+            logLine(LogLevel::Error, "main", "--advertise: expected an address and a port. found={}",
+                printableText(advertised, maxProblemBytes));
+            return exitFailed;
+        }
+        kernel.node.options.endpoint = *endpoint;
     }
     std::random_device entropy;
     kernel.node.random.value = (static_cast<std::uint64_t>(entropy()) << 32) | entropy();
