soak: gangs in the load, the workers and the checks

About a third of the jobs now begin with a gang of 3 to 5 tasks. The workers share a table of gangs: the members work once all are present, end together, or end as broken or alone.

A worker that lost power during a call no longer answers it or carries it out. The schedule of faults has a random generator of its own, so that the timing of calls doesn't change it. Clients close their connections at the end.

--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -4,6 +4,7 @@
 import asyncio
 import base64
 import json
+import math
 import time
 import urllib.parse
 
@@ -12,6 +13,7 @@
 MOST_TRANSACTION_ENTRIES = 32
 HISTORY = 2000
 SLOWEST_WORKER_CLOCK = 0.98
+GANG_TIMEOUT_S = 3.0
 
 
 def now():
@@ -164,15 +166,30 @@
         return 200, {"revision": self.revision}
 
 
+class Gang:
+    """One attempt of a gang, whose members may be on several workers."""
+
+    def __init__(self, name, attempt, size):
+        self.name = name
+        self.attempt = attempt
+        self.size = size
+        # The worker of each member that is present.
+        self.members = {}
+        self.works = False
+        self.over = False
+
+
 class Worker:
-    """Runs what it is told. It does not guard its capacity; the checker does."""
+    """Runs what it is told. It does not guard its capacity; the checker does. `gangs` has the attempts of all gangs by
+    step and attempt, shared by all workers."""
 
-    def __init__(self, rng, name, zone, checker, beat_store):
+    def __init__(self, rng, name, zone, checker, beat_store, gangs):
         self.rng = rng
         self.name = name
         self.zone = zone
         self.checker = checker
         self.store = beat_store
+        self.gangs = gangs
         self.capacity = {"cpu": 4000, "memMb": 8000, "gpu": 0}
         self.fault = ""
         self.late_share = 0.0
@@ -195,11 +212,14 @@
         self.waiters = asyncio.Event()
 
     def crash(self):
-        for run in self.runs.values():
+        lost = list(self.runs.values())
+        self.runs = {}
+        for run in lost:
             self.checker.run_gone(self, run)
+        for run in lost:
+            self.leave_gang(run, "lost")
         # A restart takes longer than a millisecond, so that the new life has another start.
         self.born = 0
-        self.runs = {}
 
     async def start(self):
         self.port = await self.server.start("127.0.0.1")
@@ -219,9 +239,35 @@
         self.number += 1
         self.ends.append([self.number, task, run["attempt"], how, ""])
         self.stopped[task] = max(self.stopped.get(task, 0), run["attempt"])
-        self.checker.run_ended(self, run, how)
+        self.checker.run_ended(self, run, how, self.number)
         self.waiters.set()
         self.waiters = asyncio.Event()
+        self.leave_gang(run, how)
+
+    def join_gang(self, run, size):
+        gang = self.gangs.setdefault((run["group"], run["attempt"]), Gang(run["group"], run["attempt"], size))
+        run["gang"] = gang
+        gang.members[run["task"]] = self
+        if len(gang.members) == gang.size and not gang.over:
+            gang.works = True
+            self.checker.gang_works(gang)
+            for task, worker in gang.members.items():
+                worker.runs[task]["ends_at"] = now() + run["size"]["ms"] / 1000
+
+    def leave_gang(self, run, how):
+        """The members end together: as done with the first that is done, otherwise as broken."""
+        gang = run["gang"]
+        if gang is None:
+            return
+        if gang.members.get(run["task"]) is self:
+            del gang.members[run["task"]]
+        if gang.over:
+            return
+        gang.over = True
+        self.checker.gang_over(gang)
+        for task, worker in list(gang.members.items()):
+            if task in worker.runs:
+                worker.end(task, "done" if how == "done" else "broken")
 
     def turn(self):
         """Ends what is due; called often."""
@@ -230,17 +276,27 @@
             self.lapsed_until = self.until
             self.checker.lease_lapsed(self)
         for task, run in list(self.runs.items()):
+            gang = run["gang"]
+            faults = [worker.fault for worker in gang.members.values()] if gang else [self.fault]
+            if task not in self.runs:
+                # Ended with another member of its gang.
+                continue
             if lapsed:
                 self.end(task, "lapsed")
             elif run["stop_at"] is not None and now() >= run["stop_at"]:
                 self.end(task, "stopped")
-            elif self.fault != "hang" and now() >= run["ends_at"]:
-                self.end(task, "failed" if run["fails"] or self.fault == "grey" else "done")
+            elif gang and not gang.works and now() >= run["started"] + GANG_TIMEOUT_S:
+                self.end(task, "alone")
+            elif "hang" not in faults and now() >= run["ends_at"]:
+                if run["fails"] or self.fault == "grey":
+                    self.end(task, "failed")
+                elif "grey" not in faults:
+                    self.end(task, "done")
 
     async def take(self, method, path, headers, body):
+        await asyncio.sleep(0.001)
         if self.fault == "silent" or self.born == 0:
             return NO_ANSWER
-        await asyncio.sleep(0.001)
         content = json.loads(body) if body else {}
         if path == "/healthz":
             return 200, {}
@@ -250,9 +306,10 @@
             life = self.born
             asyncio.get_running_loop().call_later(self.rng.uniform(2, 6), self.take_late, life, path, content)
             return NO_ANSWER
-        if path == "/v1/hold":
-            return await self.hold(content)
-        return self.order(path, content)
+        life = self.born
+        answer = await self.hold(content) if path == "/v1/hold" else self.order(path, content)
+        # A life that has ended meanwhile answers nothing.
+        return answer if self.born == life else NO_ANSWER
 
     def take_late(self, life, path, content):
         if self.born == life:
@@ -275,9 +332,15 @@
         self.until = max(self.until, content["untilMs"])
         # The specification of a job of the soak is what it really takes.
         truth = json.loads(content["spec"])
-        self.runs[task] = {"task": task, "attempt": attempt, "spec": content["spec"], "size": truth, "stop_at": None,
-                           "started": now(), "ends_at": now() + truth["ms"] / 1000, "fails": truth["fails"]}
-        self.checker.run_started(self, self.runs[task])
+        step = task.rpartition(".")[0]
+        gang_size = truth["gangs"][int(step.rpartition(".")[2])]
+        run = {"task": task, "attempt": attempt, "spec": content["spec"], "size": truth, "stop_at": None,
+               "started": now(), "ends_at": math.inf if gang_size else now() + truth["ms"] / 1000,
+               "fails": truth["fails"], "group": step if gang_size else task, "gang": None}
+        self.runs[task] = run
+        self.checker.run_started(self, run)
+        if gang_size:
+            self.join_gang(run, gang_size)
         return 200, {"clockMs": self.clock_ms()}
 
     def stop(self, content):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -31,6 +31,7 @@
 ATTEMPTS = 2
 STARTUP_S = 0.5
 CLIENT_DEADLINE_S = 3.0
+GANG_SHARE = 0.35
 
 
 def free_port(rng=random.Random()):
@@ -134,10 +135,14 @@
         self.events = []
 
     async def set_up(self):
-        self.store = Store(self.rng)
+        # The schedule of faults draws from a generator of its own, so that it doesn't depend on the timing of calls.
+        platform_rng = random.Random(self.options.seed)
+        self.store = Store(platform_rng)
         self.adviser = Adviser()
         self.adviser_port = await self.adviser.server.start(ADDRESS)
-        self.workers = [Worker(self.rng, f"w{i}", "z", self.checker, self.store) for i in range(self.options.workers)]
+        gangs = {}
+        self.workers = [Worker(platform_rng, f"w{i}", "z", self.checker, self.store, gangs)
+                        for i in range(self.options.workers)]
         for worker in self.workers:
             await worker.start()
         self.configure()
@@ -179,21 +184,27 @@
             job = f"{rng.getrandbits(64):016x}"
             seen = {"outcomes": [], "states": [], "state": None, "cancelled": False, "fails": rng.random() < 0.05}
             queue = rng.choice(QUEUES)
-            spec = json.dumps({"cpu": rng.choice((200, 500, 1200)), "ms": rng.choice((100, 300, 900)),
-                               "fails": seen["fails"]})
+            size = {"cpu": rng.choice((200, 500, 1200)), "ms": rng.choice((100, 300, 900))}
+            steps = self.steps(rng, size)
+            spec = json.dumps({**size, "fails": seen["fails"],
+                               "gangs": [step["count"] if "gang" in step else 0 for step in steps]})
             self.checker.specs[job] = spec
             self.clients[job] = seen
-            body = {"spec": spec, "steps": self.steps(rng, json.loads(spec))}
+            body = {"spec": spec, "steps": steps}
             if await self.submit(rng, connections, queue, job, body, seen):
                 if rng.random() < 0.05:
                     await self.cancel(rng, connections, queue, job, seen)
                 await self.follow(rng, connections, queue, job, seen, until + RECOVERY_S)
             await asyncio.sleep(rng.uniform(0, 0.3))
+        for connection in connections.values():
+            connection.close()
 
     @staticmethod
     def steps(rng, truth):
         size = {"cpu": truth["cpu"], "memMb": 100, "estimateMs": truth["ms"]}
         steps = [{"count": rng.randint(1, 3), **size}]
+        if rng.random() < GANG_SHARE:
+            steps = [{"count": rng.randint(3, 5), "gang": True, **size}]
         if rng.random() < 0.2:
             steps.append({"count": 1, "after": [0], **size})
         return steps
@@ -230,6 +241,7 @@
             if status in (200, 410):
                 seen["states"].append(status)
                 seen["state"] = content.get("state", seen["state"])
+                self.checker.job_shown(job, content.get("state"))
             await asyncio.sleep(rng.uniform(0.05, 0.3))
 
     # --- faults ---
@@ -357,7 +369,9 @@
     def summary(self):
         accepted = sum(200 in seen["outcomes"] for seen in self.clients.values())
         done = sum(seen["state"] == "done" for seen in self.clients.values())
-        return f"{len(self.clients)} jobs, {accepted} accepted, {done} done, {len(self.events)} faults"
+        ends = self.checker.gang_ends
+        gangs = f"members of gangs: {', '.join(f'{ends[how]} {how}' for how in sorted(ends) if ends[how])}"
+        return f"{len(self.clients)} jobs, {accepted} accepted, {done} done, {len(self.events)} faults; {gangs}"
 
 
 def main():
@@ -378,6 +392,7 @@
         soak = Soak(options, seed)
         violations = asyncio.run(soak.run())
         (soak.folder / "faults.txt").write_text("\n".join(soak.events) + "\n")
+        (soak.folder / "runs.txt").write_text("\n".join(soak.checker.trace) + "\n")
         print(f"seed {seed}: {soak.summary()}; {'FAILED, logs in ' + str(soak.folder) if violations else 'ok'}", flush=True)
         for violation in violations[:20]:
             print(f"    {violation}", flush=True)
