soak: workers that are born anew at once, and that lose power while the leader has no store

A worker that is back within 0.3 s is not noticed by its connections. In the incident, workers whose ends were not stored yet lost power while the store was away for the leader: workers that hold such ends now lose power in such an outage, partly with the leases revoked, or with the store away for all daemons.

--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -37,6 +37,8 @@
         self.fault_of = {}
         self.latency = 0.003
         self.lost = 0.0
+        # The daemon whose write was last accepted, which is the leader most of the time.
+        self.last_writer = ""
         self.violations = []
 
     def put(self, key, value, lease=0):
@@ -102,7 +104,10 @@
             else:
                 asyncio.get_running_loop().call_later(self.rng.uniform(1, 6), self.transact, content)
             return NO_ANSWER
-        return await self.answer(method, path, query, content)
+        status, answer = await self.answer(method, path, query, content)
+        if path == "/v1/kv-txn" and status == 200:
+            self.last_writer = node
+        return status, answer
 
     async def answer(self, method, path, query, content):
         if path == "/v1/kv-key":
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -31,6 +31,7 @@
 ATTEMPTS = 2
 STARTUP_S = 0.5
 CLIENT_DEADLINE_S = 3.0
+MOST_POWER_LOSSES = 6
 GANG_SHARE = 0.35
 
 
@@ -268,9 +269,33 @@
         def crash():
             worker.crash()
 
-        def rebirth():
-            worker.be_born()
-            worker.beat()
+        def rebirth(who=worker):
+            # Another fault may have begun a life meanwhile, which ends here.
+            who.crash()
+            who.be_born()
+            who.beat()
+
+        async def power_loss():
+            """Workers whose ends nobody has taken note of lose power while the leader, or all, can't reach the store."""
+            leader = self.store.last_writer
+            for_all = rng.random() < 0.3
+            loss_at, revoked = rng.uniform(0.3, 1.5), rng.random() < 0.5
+            self.events.append(f"{now():.2f} store {what} for {'all' if for_all else leader} until workers lose power")
+            cut_off = [each.name for each in self.daemons if for_all or each.name == leader]
+            store.fault_of.update(dict.fromkeys(cut_off, what))
+            if revoked:
+                for lease in list(store.leases):
+                    store.end_lease(lease)
+            await asyncio.sleep(loss_at)
+            lost = [each for each in self.workers if each.ends][:MOST_POWER_LOSSES]
+            self.events.append(f"{now():.2f} power lost by {' '.join(each.name for each in lost)}")
+            for each in lost:
+                each.crash()
+            await asyncio.sleep(seconds)
+            for name in cut_off:
+                store.fault_of.pop(name, None)
+            for each in lost:
+                rebirth(each)
 
         def drain(value):
             worker.draining = value
@@ -302,6 +327,9 @@
             "worker fails": lambda: self.hold_fault(f"{worker.name} fails", *set_to(worker, "fault", "grey", ""), seconds),
             "worker hangs": lambda: self.hold_fault(f"{worker.name} hangs", *set_to(worker, "fault", "hang", ""), seconds),
             "worker crash": lambda: self.hold_fault(f"{worker.name} crashed", crash, rebirth, seconds),
+            "worker born anew": lambda: self.hold_fault(f"{worker.name} crashed and is born anew", crash, rebirth,
+                                                        rng.uniform(0.01, 0.3)),
+            "power loss": power_loss,
             "worker drains": lambda: self.hold_fault(f"{worker.name} drains", lambda: drain(True), lambda: drain(False),
                                                      seconds),
             "orders late": lambda: self.hold_fault(f"{worker.name} late", *set_to(worker, "late_share", 0.5, 0.0), seconds),
