--- /dev/null
+++ b/tests/soak/gangs_test.py
@@ -0,0 +1,127 @@
+"""Gangs of the soak's workers, and the checks of them. A check that finds nothing would hide every fault of its kind."""
+
+import asyncio
+import json
+import random
+import sys
+import unittest
+from unittest import mock
+
+import platform_standin
+from checker import Checker
+
+JOB = "00000000000000aa"
+
+
+class GangTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.checker = Checker(2)
+        self.spec = json.dumps({"cpu": 100, "ms": 20, "fails": False, "gangs": [2]})
+        self.checker.specs[JOB] = self.spec
+        gangs = {}
+        rng = random.Random(1)
+        self.workers = [platform_standin.Worker(rng, f"w{i}", "z", self.checker, platform_standin.Store(rng), gangs)
+                        for i in range(4)]
+
+    def start(self, worker, index, attempt):
+        until = self.workers[worker].clock_ms() + 1000
+        status, _ = self.workers[worker].order("/v1/run-start", {
+            "task": f"{JOB}.0.0.{index}", "attempt": attempt, "spec": self.spec, "untilMs": until, "fencingToken": 1})
+        self.assertEqual(status, 200)
+
+    async def turn(self, seconds):
+        until = platform_standin.now() + seconds
+        while platform_standin.now() < until:
+            for worker in self.workers:
+                worker.turn()
+            await asyncio.sleep(0.005)
+
+    async def acknowledge(self, worker):
+        await self.workers[worker].hold({"fencingToken": 1, "lastSeen": self.workers[worker].number})
+
+    def ends(self):
+        return [[(end[1][-1], end[2], end[3]) for end in worker.ends] for worker in self.workers]
+
+    def violations(self):
+        self.checker.finish({})
+        return [text.split(" ", 1)[1] for text in self.checker.violations]
+
+    async def finish_first_attempt(self):
+        self.start(0, 0, 1)
+        self.start(1, 1, 1)
+        await self.turn(0.05)
+
+    async def test_members_work_once_all_are_present_and_end_together(self):
+        self.start(0, 0, 1)
+        await self.turn(0.05)
+        self.assertEqual(self.ends(), [[], [], [], []])
+        self.start(1, 1, 1)
+        await self.turn(0.05)
+        self.assertEqual(self.ends(), [[("0", 1, "done")], [("1", 1, "done")], [], []])
+        self.assertEqual(self.violations(), [])
+
+    async def test_a_member_without_the_others_ends_alone(self):
+        with mock.patch.object(platform_standin, "GANG_TIMEOUT_S", 0.03):
+            self.start(0, 0, 1)
+            self.start(1, 1, 2)
+            await self.turn(0.06)
+        self.assertEqual(self.ends()[:2], [[("0", 1, "alone")], [("1", 2, "alone")]])
+
+    async def test_a_member_that_is_lost_breaks_the_others(self):
+        self.start(0, 0, 1)
+        self.start(1, 1, 1)
+        self.workers[0].crash()
+        self.assertEqual(self.ends()[1], [("1", 1, "broken")])
+        self.assertEqual(self.workers[0].ends, [])
+
+    async def test_a_hanging_worker_holds_up_the_whole_gang(self):
+        self.workers[0].fault = "hang"
+        await self.finish_first_attempt()
+        self.assertEqual(self.ends()[1], [])
+
+    async def test_one_acknowledged_end_stands_for_the_gang(self):
+        await self.finish_first_attempt()
+        self.start(2, 1, 2)
+        await self.acknowledge(0)
+        self.assertEqual(self.violations(), [
+            f"{JOB}.0.0.1 was started again on w2 (attempt 2) after an end that was taken note of"])
+
+    async def test_ends_that_nobody_acknowledged_do_not_count(self):
+        await self.finish_first_attempt()
+        self.workers[0].until = 0
+        self.workers[0].lapsed_until = -1
+        await self.turn(0.01)
+        # The lease has lapsed before the acknowledgement, and the other end stays unheard.
+        await self.acknowledge(0)
+        self.start(2, 1, 2)
+        self.assertEqual(self.violations(), [])
+
+    async def test_a_start_after_the_job_was_shown_as_done(self):
+        await self.finish_first_attempt()
+        self.checker.job_shown(JOB, "done")
+        self.start(2, 0, 2)
+        self.assertIn("after its job was shown as done", self.violations()[0])
+
+    async def test_two_attempts_that_work_at_one_time(self):
+        self.start(0, 0, 1)
+        self.start(1, 1, 1)
+        self.start(2, 0, 2)
+        self.start(3, 1, 2)
+        self.assertIn(f"{JOB}.0.0 works as attempt 1 and as attempt 2", self.violations())
+
+    async def test_a_failed_gang_counts_once(self):
+        self.spec = self.checker.specs[JOB] = json.dumps({"cpu": 100, "ms": 20, "fails": True, "gangs": [2]})
+        for attempt in (1, 2):
+            self.start(0, 0, attempt)
+            self.start(1, 1, attempt)
+            await self.turn(0.05)
+            self.assertEqual(len(self.checker.failed[f"{JOB}.0.0"]), attempt)
+            await self.acknowledge(0)
+            await self.acknowledge(1)
+        self.assertEqual(self.violations(), [])
+        self.start(2, 0, 3)
+        self.assertIn("after 2 failed runs", self.violations()[0])
+
+
+if __name__ == "__main__":
+    sys.exit(unittest.main())
