--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -275,6 +275,28 @@
             who.be_born()
             who.beat()
 
+        def revoke_leases():
+            for lease in list(store.leases):
+                store.end_lease(lease)
+
+        async def former_leader():
+            """The leader is paused until its successor has led, and goes on when that one is gone."""
+            leader = next((each for each in self.daemons if each.name == store.last_writer), daemon)
+            if any(each.paused for each in self.daemons):
+                return
+            self.events.append(f"{now():.2f} SIGSTOP {leader.name}, which leads")
+            leader.signal(signal.SIGSTOP)
+            revoke_leases()
+            await asyncio.sleep(1.0 + seconds / 2)
+            successor = next((each for each in self.daemons if each.name == store.last_writer), daemon)
+            self.events.append(f"{now():.2f} SIGCONT {leader.name}; SIGKILL {successor.name}, which leads after it")
+            restart = asyncio.create_task(successor.restart(signal.SIGKILL, rng.uniform(0, 1)))
+            # The restart sends its signal before anything else.
+            await asyncio.sleep(0)
+            revoke_leases()
+            leader.signal(signal.SIGCONT)
+            await restart
+
         async def power_loss():
             """Workers whose ends nobody has taken note of lose power while the leader, or all, can't reach the store."""
             leader = self.store.last_writer
@@ -284,8 +306,7 @@
             cut_off = [each.name for each in self.daemons if for_all or each.name == leader]
             store.fault_of.update(dict.fromkeys(cut_off, what))
             if revoked:
-                for lease in list(store.leases):
-                    store.end_lease(lease)
+                revoke_leases()
             await asyncio.sleep(loss_at)
             lost = [each for each in self.workers if each.ends][:MOST_POWER_LOSSES]
             self.events.append(f"{now():.2f} power lost by {' '.join(each.name for each in lost)}")
@@ -314,7 +335,7 @@
                 lambda: store.fault_of.pop(daemon.name, None), seconds),
             "store slow": lambda: self.hold_fault("store slow", *set_to(store, "latency", 0.25, 0.003), seconds),
             "answers lost": lambda: self.hold_fault("store answers lost", *set_to(store, "lost", 0.35, 0.0), seconds),
-            "leases revoked": lambda: once("leases revoked", lambda: [store.end_lease(each) for each in list(store.leases)]),
+            "leases revoked": lambda: once("leases revoked", revoke_leases),
             "history lost": lambda: once("history lost", store.compact),
             "link delayed": lambda: self.hold_fault(f"link of {daemon.name} delayed", *set_to(link, "delay", 0.08, 0.0),
                                                     seconds),
@@ -330,6 +351,7 @@
             "worker born anew": lambda: self.hold_fault(f"{worker.name} crashed and is born anew", crash, rebirth,
                                                         rng.uniform(0.01, 0.3)),
             "power loss": power_loss,
+            "former leader": former_leader,
             "worker drains": lambda: self.hold_fault(f"{worker.name} drains", lambda: drain(True), lambda: drain(False),
                                                      seconds),
             "orders late": lambda: self.hold_fault(f"{worker.name} late", *set_to(worker, "late_share", 0.5, 0.0), seconds),
@@ -344,7 +366,7 @@
             "settings changed": lambda: once("settings changed", self.configure),
             "reload": lambda: once(f"SIGHUP {daemon.name}", lambda: daemon.signal(signal.SIGHUP)),
         }
-        return faults[rng.choice(list(faults))]()
+        return faults[rng.choice(self.options.only or list(faults))]()
 
     async def inject(self, until):
         running = []
@@ -411,6 +433,7 @@
     parser.add_argument("--daemons", type=int, default=5)
     parser.add_argument("--workers", type=int, default=10)
     parser.add_argument("--clients", type=int, default=20)
+    parser.add_argument("--only", type=lambda text: text.split(","), help="names of the faults to draw; all by default")
     parser.add_argument("--logs", help="folder for the logs; a new one by default")
     options = parser.parse_args()
     failed = 0
