--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -218,6 +218,8 @@
                    "X-Wigeonkeel-Deadline-Ms": str(int(timeout * 1000))}
         try:
             status, _, content = await client.request(method, path, headers, body, timeout + 0.5)
+            if status == 410:
+                self.checker.note(f"{daemon.name} answers 410 for {method} {path}")
             return status, content
         except (OSError, EOFError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             return (0 if client.sent else -1), {}
