--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -34,7 +34,11 @@
         except asyncio.CancelledError:
             # The soak ends.
             pass
-        self.open_pairs.pop(id(pair), None)
+        finally:
+            # Silenced connections are open until both sides have gone; none is left to the collector.
+            self.open_pairs.pop(id(pair), None)
+            for each in pair["writers"]:
+                each.transport.abort()
 
     async def _copy(self, pair, reader, writer, direction):
         try:
