--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -31,6 +31,8 @@
 ATTEMPTS = 2
 STARTUP_S = 0.5
 CLIENT_DEADLINE_S = 3.0
+MOST_POWER_LOSSES = 6
+GANG_SHARE = 0.35
 
 
 def free_port(rng=random.Random()):
@@ -134,10 +136,14 @@
         self.events = []
 
     async def set_up(self):
-        self.store = Store(self.rng)
+        # The schedule of faults draws from a generator of its own, so that it doesn't depend on the timing of calls.
+        platform_rng = random.Random(self.options.seed)
+        self.store = Store(platform_rng)
         self.adviser = Adviser()
         self.adviser_port = await self.adviser.server.start(ADDRESS)
-        self.workers = [Worker(self.rng, f"w{i}", "z", self.checker, self.store) for i in range(self.options.workers)]
+        gangs = {}
+        self.workers = [Worker(platform_rng, f"w{i}", "z", self.checker, self.store, gangs)
+                        for i in range(self.options.workers)]
         for worker in self.workers:
             await worker.start()
         self.configure()
@@ -179,21 +185,27 @@
             job = f"{rng.getrandbits(64):016x}"
             seen = {"outcomes": [], "states": [], "state": None, "cancelled": False, "fails": rng.random() < 0.05}
             queue = rng.choice(QUEUES)
-            spec = json.dumps({"cpu": rng.choice((200, 500, 1200)), "ms": rng.choice((100, 300, 900)),
-                               "fails": seen["fails"]})
+            size = {"cpu": rng.choice((200, 500, 1200)), "ms": rng.choice((100, 300, 900))}
+            steps = self.steps(rng, size)
+            spec = json.dumps({**size, "fails": seen["fails"],
+                               "gangs": [step["count"] if "gang" in step else 0 for step in steps]})
             self.checker.specs[job] = spec
             self.clients[job] = seen
-            body = {"spec": spec, "steps": self.steps(rng, json.loads(spec))}
+            body = {"spec": spec, "steps": steps}
             if await self.submit(rng, connections, queue, job, body, seen):
                 if rng.random() < 0.05:
                     await self.cancel(rng, connections, queue, job, seen)
                 await self.follow(rng, connections, queue, job, seen, until + RECOVERY_S)
             await asyncio.sleep(rng.uniform(0, 0.3))
+        for connection in connections.values():
+            connection.close()
 
     @staticmethod
     def steps(rng, truth):
         size = {"cpu": truth["cpu"], "memMb": 100, "estimateMs": truth["ms"]}
         steps = [{"count": rng.randint(1, 3), **size}]
+        if rng.random() < GANG_SHARE:
+            steps = [{"count": rng.randint(3, 5), "gang": True, **size}]
         if rng.random() < 0.2:
             steps.append({"count": 1, "after": [0], **size})
         return steps
@@ -206,6 +218,8 @@
                    "X-Wigeonkeel-Deadline-Ms": str(int(timeout * 1000))}
         try:
             status, _, content = await client.request(method, path, headers, body, timeout + 0.5)
+            if status == 410:
+                self.checker.note(f"{daemon.name} answers 410 for {method} {path}")
             return status, content
         except (OSError, EOFError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             return (0 if client.sent else -1), {}
@@ -230,6 +244,7 @@
             if status in (200, 410):
                 seen["states"].append(status)
                 seen["state"] = content.get("state", seen["state"])
+                self.checker.job_shown(job, content.get("state"))
             await asyncio.sleep(rng.uniform(0.05, 0.3))
 
     # --- faults ---
@@ -256,9 +271,54 @@
         def crash():
             worker.crash()
 
-        def rebirth():
-            worker.be_born()
-            worker.beat()
+        def rebirth(who=worker):
+            # Another fault may have begun a life meanwhile, which ends here.
+            who.crash()
+            who.be_born()
+            who.beat()
+
+        def revoke_leases():
+            for lease in list(store.leases):
+                store.end_lease(lease)
+
+        async def former_leader():
+            """The leader is paused until its successor has led, and goes on when that one is gone."""
+            leader = next((each for each in self.daemons if each.name == store.last_writer), daemon)
+            if any(each.paused for each in self.daemons):
+                return
+            self.events.append(f"{now():.2f} SIGSTOP {leader.name}, which leads")
+            leader.signal(signal.SIGSTOP)
+            revoke_leases()
+            await asyncio.sleep(1.0 + seconds / 2)
+            successor = next((each for each in self.daemons if each.name == store.last_writer), daemon)
+            self.events.append(f"{now():.2f} SIGCONT {leader.name}; SIGKILL {successor.name}, which leads after it")
+            restart = asyncio.create_task(successor.restart(signal.SIGKILL, rng.uniform(0, 1)))
+            # The restart sends its signal before anything else.
+            await asyncio.sleep(0)
+            revoke_leases()
+            leader.signal(signal.SIGCONT)
+            await restart
+
+        async def power_loss():
+            """Workers whose ends nobody has taken note of lose power while the leader, or all, can't reach the store."""
+            leader = self.store.last_writer
+            for_all = rng.random() < 0.3
+            loss_at, revoked = rng.uniform(0.3, 1.5), rng.random() < 0.5
+            self.events.append(f"{now():.2f} store {what} for {'all' if for_all else leader} until workers lose power")
+            cut_off = [each.name for each in self.daemons if for_all or each.name == leader]
+            store.fault_of.update(dict.fromkeys(cut_off, what))
+            if revoked:
+                revoke_leases()
+            await asyncio.sleep(loss_at)
+            lost = [each for each in self.workers if each.ends][:MOST_POWER_LOSSES]
+            self.events.append(f"{now():.2f} power lost by {' '.join(each.name for each in lost)}")
+            for each in lost:
+                each.crash()
+            await asyncio.sleep(seconds)
+            for name in cut_off:
+                store.fault_of.pop(name, None)
+            for each in lost:
+                rebirth(each)
 
         def drain(value):
             worker.draining = value
@@ -277,7 +337,7 @@
                 lambda: store.fault_of.pop(daemon.name, None), seconds),
             "store slow": lambda: self.hold_fault("store slow", *set_to(store, "latency", 0.25, 0.003), seconds),
             "answers lost": lambda: self.hold_fault("store answers lost", *set_to(store, "lost", 0.35, 0.0), seconds),
-            "leases revoked": lambda: once("leases revoked", lambda: [store.end_lease(each) for each in list(store.leases)]),
+            "leases revoked": lambda: once("leases revoked", revoke_leases),
             "history lost": lambda: once("history lost", store.compact),
             "link delayed": lambda: self.hold_fault(f"link of {daemon.name} delayed", *set_to(link, "delay", 0.08, 0.0),
                                                     seconds),
@@ -290,6 +350,10 @@
             "worker fails": lambda: self.hold_fault(f"{worker.name} fails", *set_to(worker, "fault", "grey", ""), seconds),
             "worker hangs": lambda: self.hold_fault(f"{worker.name} hangs", *set_to(worker, "fault", "hang", ""), seconds),
             "worker crash": lambda: self.hold_fault(f"{worker.name} crashed", crash, rebirth, seconds),
+            "worker born anew": lambda: self.hold_fault(f"{worker.name} crashed and is born anew", crash, rebirth,
+                                                        rng.uniform(0.01, 0.3)),
+            "power loss": power_loss,
+            "former leader": former_leader,
             "worker drains": lambda: self.hold_fault(f"{worker.name} drains", lambda: drain(True), lambda: drain(False),
                                                      seconds),
             "orders late": lambda: self.hold_fault(f"{worker.name} late", *set_to(worker, "late_share", 0.5, 0.0), seconds),
@@ -304,7 +368,7 @@
             "settings changed": lambda: once("settings changed", self.configure),
             "reload": lambda: once(f"SIGHUP {daemon.name}", lambda: daemon.signal(signal.SIGHUP)),
         }
-        return faults[rng.choice(list(faults))]()
+        return faults[rng.choice(self.options.only or list(faults))]()
 
     async def inject(self, until):
         running = []
@@ -357,7 +421,9 @@
     def summary(self):
         accepted = sum(200 in seen["outcomes"] for seen in self.clients.values())
         done = sum(seen["state"] == "done" for seen in self.clients.values())
-        return f"{len(self.clients)} jobs, {accepted} accepted, {done} done, {len(self.events)} faults"
+        ends = self.checker.gang_ends
+        gangs = f"members of gangs: {', '.join(f'{ends[how]} {how}' for how in sorted(ends) if ends[how])}"
+        return f"{len(self.clients)} jobs, {accepted} accepted, {done} done, {len(self.events)} faults; {gangs}"
 
 
 def main():
@@ -369,6 +435,7 @@
     parser.add_argument("--daemons", type=int, default=5)
     parser.add_argument("--workers", type=int, default=10)
     parser.add_argument("--clients", type=int, default=20)
+    parser.add_argument("--only", type=lambda text: text.split(","), help="names of the faults to draw; all by default")
     parser.add_argument("--logs", help="folder for the logs; a new one by default")
     options = parser.parse_args()
     failed = 0
@@ -378,6 +445,7 @@
         soak = Soak(options, seed)
         violations = asyncio.run(soak.run())
         (soak.folder / "faults.txt").write_text("\n".join(soak.events) + "\n")
+        (soak.folder / "runs.txt").write_text("\n".join(soak.checker.trace) + "\n")
         print(f"seed {seed}: {soak.summary()}; {'FAILED, logs in ' + str(soak.folder) if violations else 'ok'}", flush=True)
         for violation in violations[:20]:
             print(f"    {violation}", flush=True)
