dispatch: a job is said not to exist only after the store was asked

A revoked claim ends at once, and one may be written over while its lease lives.

What the leader doesn't know is looked for in the store: first the live record, then that of the end. No answer is an unknown outcome; a record that this leader lacks shows that another has led, and it steps down.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -27,13 +27,8 @@
 /// When a client may try again after the store was away.
 constexpr milliseconds outageRetryAfter{1000};
 constexpr milliseconds overloadRetryAfter{2000};
-
-/// What is said of a job that this leader doesn't know: within the lease of its claim no other daemon can have accepted
-/// it.
-ClientOutcome outcomeOfUnknownJob(const Dispatcher &dispatcher, MonotonicTime now)
-{
-    return now - dispatcher.claimConfirmedAt < claimLease ? ClientOutcome::NoSuchJob : ClientOutcome::Unknown;
-}
+/// Calls about unknown jobs that the store is asked for at one time; a share of the reads that it grants.
+constexpr std::size_t maxUnknownJobs = 64;
 
 bool storeIsAway(const Dispatcher &dispatcher, MonotonicTime now)
 {
@@ -46,6 +41,41 @@
     dispatcher.outbox->add(LeaderAnswer{.answer = answer});
 }
 
+void askForRecord(Dispatcher &dispatcher, const UnknownJobCall &unknown, std::string_view key)
+{
+    const CallId call = dispatcher.outbox->newCall();
+    dispatcher.unknownJobs.emplace(call, unknown);
+    dispatcher.outbox->add(StoreRange{.call = call, .prefix = std::string(key), .after = {}});
+}
+
+/// That this leader doesn't know a job proves nothing: its claim may have been revoked, and another daemon may have
+/// accepted the job. So the store is asked.
+void answerUnknownJob(Dispatcher &dispatcher, const ClientCall &call, MonotonicTime now)
+{
+    if (storeIsAway(dispatcher, now) || dispatcher.unknownJobs.size() >= maxUnknownJobs) {
+        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Unknown});
+        return;
+    }
+    askForRecord(dispatcher, {.call = call.call, .job = call.job}, jobKey(call.job));
+}
+
+/// The live record is read before that of the end, because a job moves from the one to the other.
+void takeRecord(Dispatcher &dispatcher, const UnknownJobCall &unknown, const StoreReply &reply)
+{
+    if (reply.status == CallStatus::Ok && reply.items.empty() && !unknown.endAsked) {
+        askForRecord(dispatcher, {.call = unknown.call, .job = unknown.job, .endAsked = true}, endKey(unknown.job));
+        return;
+    }
+    const bool exists = reply.status != CallStatus::Ok || !reply.items.empty();
+    const bool isKnown = dispatcher.jobs.live.contains(unknown.job) || dispatcher.jobs.ended.contains(unknown.job);
+    if (reply.status == CallStatus::Ok && exists && !isKnown) {
+        logLine(LogLevel::Warning, logPart, "The store has a job that this leader doesn't know. job={} token={}",
+            formatJobId(unknown.job), dispatcher.token);
+        dispatcher.deposed = true;
+    }
+    answer(dispatcher, {.call = unknown.call, .outcome = exists ? ClientOutcome::Unknown : ClientOutcome::NoSuchJob});
+}
+
 void refuse(Dispatcher &dispatcher, const ClientCall &call, milliseconds retryAfter, std::string_view reason)
 {
     ++dispatcher.counters.refused;
@@ -157,7 +187,7 @@
     }
     const Job *job = findJob(dispatcher.jobs, call.job);
     if (job == nullptr) {
-        answer(dispatcher, {.call = call.call, .outcome = outcomeOfUnknownJob(dispatcher, now)});
+        answerUnknownJob(dispatcher, call, now);
         return;
     }
     answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok, .state = shownState(*job)});
@@ -171,7 +201,7 @@
     }
     Job *job = findJob(dispatcher.jobs, call.job);
     if (job == nullptr) {
-        answer(dispatcher, {.call = call.call, .outcome = outcomeOfUnknownJob(dispatcher, now)});
+        answerUnknownJob(dispatcher, call, now);
         return;
     }
     logLine(LogLevel::Info, logPart, "Cancel. job={} queue={} accepted={}", formatJobId(call.job),
@@ -392,6 +422,10 @@
 
 bool takeStoreReply(Dispatcher &dispatcher, const StoreReply &reply, MonotonicTime now)
 {
+    if (const auto unknown = dispatcher.unknownJobs.extract(reply.call)) {
+        takeRecord(dispatcher, unknown.mapped(), reply);
+        return true;
+    }
     CommitStream *stream = findStream(dispatcher.commits, reply.call);
     if (stream == nullptr) {
         return false;
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -49,6 +49,15 @@
     std::uint64_t token = 0;
 };
 
+/// A client's call about a job that the leader doesn't know, while the store is asked for its records.
+struct UnknownJobCall
+{
+    CallId call = 0;
+    JobId job = 0;
+    /// The store has no live job of this id; asked now is whether it has ended.
+    bool endAsked = false;
+};
+
 struct DispatchCounters
 {
     std::uint64_t accepted = 0;
@@ -85,6 +94,8 @@
     CommitQueue commits;
     absl::flat_hash_map<CallId, OpenOrder> orders;
     absl::flat_hash_map<CallId, WorkerSlot> renewals;
+    /// By the call to the store.
+    absl::flat_hash_map<CallId, UnknownJobCall> unknownJobs;
     Outbox *outbox = nullptr;
     /// Until then, or until every worker has answered, inherited jobs are not started: their runs may be anywhere.
     MonotonicTime inheritanceSettlesAt{};
--- a/tests/dispatch/dispatch_recovery_test.cpp
+++ b/tests/dispatch/dispatch_recovery_test.cpp
@@ -671,3 +671,32 @@
         CHECK(isLeading(*world.nodes[leader].node));
     }
 }
+
+// Guards against a leader whose claim was revoked, and that the store does not answer, which says of a job that its
+// successor has accepted that it doesn't exist. Found by the soak, seeds 3101 and 3212.
+TEST(DispatchRecovery, ALeaderWhoseClaimWasRevokedDoesNotDenyJobsOfItsSuccessor)
+{
+    for (const bool turnsAway : {true, false}) {
+        World world(2, 4);
+        world.run(settleTime);
+        const std::size_t former = world.leaderIndex();
+        const std::size_t successor = otherThan(former);
+        world.nodes[former].deaf = true;
+        world.nodes[successor].deaf = true;
+        world.run(milliseconds(600));
+        if (turnsAway) {
+            world.store.refused.insert(former);
+        }
+        world.store.items.erase("wk/ctl/leader");
+        CHECK(world.runUntil([&] { return isLeading(*world.nodes[successor].node); }, milliseconds(900)));
+        const CallId submitted = world.submit(successor, 0xd1, oneStep(1, 500, milliseconds(300)), "urgent");
+        CHECK(world.runUntil([&] { return isAccepted(world, submitted); }, milliseconds(200)));
+        const CallId asked = world.call(former, ClientCallKind::Query, 0xd1, "urgent");
+        const CallId unknown = world.call(successor, ClientCallKind::Query, 0xd2, "urgent");
+        world.run(milliseconds(2500));
+        const auto answer = world.answerTo(asked);
+        CHECK(!answer || answer->outcome != ClientOutcome::NoSuchJob);
+        const auto other = world.answerTo(unknown);
+        CHECK(other && other->outcome == ClientOutcome::NoSuchJob);
+    }
+}
