--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -368,6 +368,9 @@
             "settings changed": lambda: once("settings changed", self.configure),
             "reload": lambda: once(f"SIGHUP {daemon.name}", lambda: daemon.signal(signal.SIGHUP)),
         }
+        unknown = set(self.options.only or ()) - set(faults)
+        if unknown:
+            raise SystemExit(f"--only: unknown faults: {', '.join(sorted(unknown))}; known: {', '.join(faults)}")
         return faults[rng.choice(self.options.only or list(faults))]()
 
     async def inject(self, until):
