--- a/core/dispatch/task_runs.cpp
+++ b/core/dispatch/task_runs.cpp
@@ -196,9 +196,10 @@
     sendStart(dispatcher, slot, key, worker.runs[key], place);
     // A worker that was idle gets a renewal soon; the lease that came with the start lasts longer than the delay.
     worker.nextRenewal = std::min(worker.nextRenewal, now + firstRenewalDelay);
-    logLine(LogLevel::Info, logPart, "Start ordered. task={} attempt={} worker={} checkpoint={} free_cpu={} queue={}",
-        formatTaskKey(key), task.attempt, worker.entry.id, task.checkpoint.empty() ? "none" : task.checkpoint,
-        freeRoom(worker).cpuMilli, place.job->record.queue.name);
+    logLine(LogLevel::Info, logPart,
+        "Start ordered. task={} attempt={} worker={} incarnation={} token={} checkpoint={} free_cpu={} queue={}",
+        formatTaskKey(key), task.attempt, worker.entry.id, worker.entry.incarnation, dispatcher.token,
+        task.checkpoint.empty() ? "none" : task.checkpoint, freeRoom(worker).cpuMilli, place.job->record.queue.name);
 }
 
 void stopRun(Dispatcher &dispatcher, WorkerSlot slot, const TaskKey &key, MonotonicTime now)
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -305,8 +305,8 @@
     run.confirmed = true;
     run.listed = true;
     chargeRun(worker, running.task, run);
-    logLine(LogLevel::Info, logPart, "Run taken over. task={} attempt={} worker={}", formatTaskKey(running.task),
-        running.attempt, worker.entry.id);
+    logLine(LogLevel::Info, logPart, "Run taken over. task={} attempt={} worker={} token={}",
+        formatTaskKey(running.task), running.attempt, worker.entry.id, dispatcher.token);
 }
 
 void handleRunningTask(Dispatcher &dispatcher, WorkerSlot slot, const RunningTask &running, MonotonicTime now)
@@ -350,6 +350,12 @@
     if (ended.number <= worker.lastEnd) {
         return;
     }
+    if (ended.number != worker.lastEnd + 1 && worker.lastEnd != 0) {
+        logLine(LogLevel::Warning, logPart,
+            "Ends are missing before one that the worker lists. worker={} incarnation={} last_end={} number={} "
+            "token={}",
+            worker.entry.id, worker.entry.incarnation, worker.lastEnd, ended.number, dispatcher.token);
+    }
     worker.lastEnd = ended.number;
     concludeRun(dispatcher, ended.task, ended, slot, now);
     Job *job = findJob(dispatcher.jobs, ended.task.step.job);
@@ -465,8 +471,11 @@
         return;
     }
     logLine(LogLevel::Warning, logPart,
-        "Worker is unreachable and its lease has expired. worker={} failures={} runs_lost={}", worker.entry.id,
-        worker.renewalFailures, worker.runs.size());
+        "Worker is unreachable and its lease has expired. worker={} incarnation={} token={} failures={} runs_lost={} "
+        "contacted={} lease_ended_by_ms_ago={} answered_ms_ago={}",
+        worker.entry.id, worker.entry.incarnation, dispatcher.token, worker.renewalFailures, worker.runs.size(),
+        worker.contacted, std::chrono::floor<milliseconds>(now - runsEndedBy).count(),
+        std::chrono::floor<milliseconds>(now - worker.renewalAnsweredAt).count());
     const std::uint32_t failures = worker.renewalFailures;
     const std::uint64_t lastEnd = worker.lastEnd;
     const std::uint64_t acknowledged = worker.acknowledged;
