workers: the first list from a worker leaves room for leases that this leader didn't request

What callers see: a task runs twice, or a worker is over its capacity, shortly after a change of leader.

Cause: a new leader counts a worker's lease from its own requests. Until its first renewal with a lease is on its way that is nothing. If that renewal is refused (connection refused), or asks for no lease because the claim is not confirmed, the worker counts as unreachable with an expired lease, and its runs start elsewhere 0.1 s later, while the former leader's lease keeps them going. The same holds for a restarted worker, whose lease an order for the former incarnation may have extended.

Why it works: a worker grants at most maxWorkerLease, so from its first list on the lease can't end later than that, whoever extended it. Former leaders can't extend it later, because the worker has seen the new token.

--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -635,6 +635,10 @@
         // The new incarnation may have another capacity; no starts until the directory shows it.
         worker.listed = false;
     }
+    if (!worker.contacted) {
+        // A former leader, or an order that was meant for a former incarnation, may have extended the lease.
+        worker.requestedLease = std::max(worker.requestedLease, reply.clock + dispatcher.bounds.maxWorkerLease);
+    }
     worker.clock = reply.clock;
     worker.clockReadAt = now;
     worker.renewalAnsweredAt = now;
