workers: starts wait until unknown runs have ended, not for a fixed time

What callers see: LIMIT, a worker is told to start more than it has room for; and a task that starts elsewhere while a run of it is still being stopped.

Cause: a run that a leader did not order (of a job that was cancelled during the change of leader, or of an attempt that it had given up) is stopped, and its size is not known. Its worker got no starts for 1.5 s after the first stop order. If the stop took longer, because connections to the worker were refused or the order got no answer, the room was given away.

Why it works: the worker is blocked as long as it has an unknown run, and the task as long as one of its runs is unknown. Both end when the worker lists the end, when the run is missing from a list, or when the lease has expired. A stop that takes effect at once now frees the worker sooner than before.

--- a/core/dispatch/job_table.h
+++ b/core/dispatch/job_table.h
@@ -34,6 +34,8 @@
     MonotonicTime progressAt{};
     /// The task is not started before this time.
     MonotonicTime notBefore{};
+    /// Unknown runs of the task that are being stopped. The task is not started before they have ended.
+    std::uint32_t unknownRuns = 0;
 };
 
 /// The adviser's permission to run tasks of a step on a worker.
--- a/core/dispatch/placement.cpp
+++ b/core/dispatch/placement.cpp
@@ -265,7 +265,8 @@
 {
     return now < ready.step->planUntil && std::ranges::all_of(ready.step->plan, [&](const PlannedPlace &planned) {
         return canAcceptStarts(dispatcher.workers.workers[planned.worker], now) && isAllowed(ready, planned.worker)
-            && ready.step->tasks[planned.task].phase == TaskPhase::Waiting;
+            && ready.step->tasks[planned.task].phase == TaskPhase::Waiting
+            && ready.step->tasks[planned.task].unknownRuns == 0;
     });
 }
 
@@ -375,7 +376,9 @@
 
 void placeWholeGang(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
 {
-    if (ready.step->waiting != ready.step->tasks.size()) {
+    const bool hasUnknownRuns
+        = std::ranges::any_of(ready.step->tasks, [](const Task &task) { return task.unknownRuns > 0; });
+    if (ready.step->waiting != ready.step->tasks.size() || hasUnknownRuns) {
         return;
     }
     if (!ready.step->plan.empty()) {
@@ -475,6 +478,11 @@
     ready.step->plan = std::move(left);
 }
 
+bool isStartable(const Task &task, MonotonicTime now)
+{
+    return task.phase == TaskPhase::Waiting && task.notBefore <= now && task.unknownRuns == 0;
+}
+
 bool isPlanned(const StepRun &step, std::uint32_t index)
 {
     return std::ranges::find(step.plan, index, &PlannedPlace::task) != step.plan.end();
@@ -497,7 +505,7 @@
     bool noRoom = false;
     for (std::uint32_t index = 0; index < ready.step->tasks.size(); ++index) {
         Task &task = ready.step->tasks[index];
-        if (task.phase != TaskPhase::Waiting || task.notBefore > now || isPlanned(*ready.step, index)) {
+        if (!isStartable(task, now) || isPlanned(*ready.step, index)) {
             continue;
         }
         const SinglePlace found = chooseSingle(dispatcher, ready, task, room, now);
@@ -526,8 +534,7 @@
     }
     for (std::uint32_t index = 0; index < ready.step->tasks.size(); ++index) {
         const Task &task = ready.step->tasks[index];
-        if (task.phase == TaskPhase::Waiting && task.notBefore <= now && !isPlanned(*ready.step, index)
-            && !preemptForOne(dispatcher, ready, index, now)) {
+        if (isStartable(task, now) && !isPlanned(*ready.step, index) && !preemptForOne(dispatcher, ready, index, now)) {
             break;
         }
     }
--- a/core/dispatch/task_runs.cpp
+++ b/core/dispatch/task_runs.cpp
@@ -281,6 +281,17 @@
     }
 }
 
+void removeRun(Dispatcher &dispatcher, Worker &worker, const TaskKey &key)
+{
+    const bool wasUnknown = worker.runs.at(key).unknown;
+    releaseRun(worker, key);
+    dispatcher.placementDue = true;
+    const TaskPlace place = findTask(dispatcher, key);
+    if (wasUnknown && place) {
+        --place.task->unknownRuns;
+    }
+}
+
 } // namespace
 
 void dropRun(Dispatcher &dispatcher, WorkerSlot slot, const TaskKey &key, MonotonicTime notBefore, MonotonicTime now)
@@ -291,8 +302,7 @@
         return;
     }
     const std::uint32_t attempt = run->second.attempt;
-    releaseRun(worker, key);
-    dispatcher.placementDue = true;
+    removeRun(dispatcher, worker, key);
     const TaskPlace place = findTask(dispatcher, key);
     if (place && place.task->phase == TaskPhase::Assigned && place.task->worker == slot
         && place.task->attempt == attempt) {
@@ -305,8 +315,7 @@
     Worker &worker = dispatcher.workers.workers[slot];
     const auto run = worker.runs.find(key);
     if (run != worker.runs.end() && run->second.attempt == ended.attempt) {
-        releaseRun(worker, key);
-        dispatcher.placementDue = true;
+        removeRun(dispatcher, worker, key);
     }
     logLine(LogLevel::Info, logPart, "Run ended. task={} attempt={} worker={} end={} number={}", formatTaskKey(key),
         ended.attempt, worker.entry.id, endName(ended.end), ended.number);
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -30,9 +30,6 @@
 constexpr milliseconds refusedDelay{150};
 /// Delay before a stop that had no effect is ordered again.
 constexpr milliseconds stopRetryDelay{500};
-/// A worker with an unknown run gets no starts for this long after the stop was ordered, because the size of the run is
-/// not known.
-constexpr milliseconds unknownRunDelay{1500};
 /// A task that makes no progress for this long is stalled: at an eighth of the usual speed the longest tasks still
 /// advance by one percent in this time.
 constexpr milliseconds stallTime{3000};
@@ -266,14 +263,17 @@
 void stopUnknownRun(Dispatcher &dispatcher, WorkerSlot slot, const RunningTask &running, MonotonicTime now)
 {
     Worker &worker = dispatcher.workers.workers[slot];
-    worker.unknownRunsUntil = now + unknownRunDelay;
     chargeRun(worker, running.task,
         {.attempt = running.attempt,
             .size = {},
             .phase = RunPhase::Running,
             .seenAt = now,
             .confirmed = true,
-            .listed = true});
+            .listed = true,
+            .unknown = true});
+    if (const TaskPlace place = findTask(dispatcher, running.task)) {
+        ++place.task->unknownRuns;
+    }
     stopRun(dispatcher, slot, running.task, now);
 }
 
--- a/core/dispatch/worker_table.cpp
+++ b/core/dispatch/worker_table.cpp
@@ -43,7 +43,7 @@
 bool canAcceptStarts(const Worker &worker, MonotonicTime now)
 {
     return worker.listed && worker.recorded && worker.contacted && !hasLateOrders(worker) && !worker.entry.draining
-        && worker.renewalFailures == 0 && worker.health.avoidUntil <= now && worker.unknownRunsUntil <= now;
+        && worker.renewalFailures == 0 && worker.health.avoidUntil <= now && worker.unknownRuns == 0;
 }
 
 WorkerTime workerClockNow(const Worker &worker, MonotonicTime now)
@@ -70,6 +70,7 @@
 {
     worker.runs[task] = run;
     worker.used += run.size;
+    worker.unknownRuns += run.unknown ? 1 : 0;
 }
 
 void releaseRun(Worker &worker, const TaskKey &task)
@@ -77,6 +78,7 @@
     const auto found = worker.runs.find(task);
     if (found != worker.runs.end()) {
         worker.used -= found->second.size;
+        worker.unknownRuns -= found->second.unknown ? 1 : 0;
         worker.runs.erase(found);
     }
 }
--- a/core/dispatch/worker_table.h
+++ b/core/dispatch/worker_table.h
@@ -53,6 +53,8 @@
     bool preemptible = false;
     bool checkpointed = false;
     MonotonicTime startedAt{};
+    /// The leader did not order the run, or considered it lost, and is stopping it. Its size is not known.
+    bool unknown = false;
 };
 
 /// Tracks failures of runs on a worker, to avoid workers on which most runs fail.
@@ -110,8 +112,8 @@
     /// The latest lease end that was sent with a start.
     WorkerTime startLease{};
     WorkerHealth health;
-    /// No starts are ordered before this time: the worker has unknown runs of unknown size, which are being stopped.
-    MonotonicTime unknownRunsUntil{};
+    /// Number of unknown runs. No starts are ordered meanwhile, because the room that these runs take is not known.
+    std::uint32_t unknownRuns = 0;
 };
 
 struct WorkerTable
--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -18,7 +18,6 @@
 /// Timeout of calls that get no answer.
 constexpr milliseconds callTimeout{700};
 constexpr milliseconds workStep{10};
-constexpr milliseconds stopTime{200};
 constexpr milliseconds adviceValidity{1500};
 /// Part of an advice request's timeout that exceeds the adviser's expected time.
 constexpr milliseconds adviceSlack{500};
@@ -398,7 +397,7 @@
     }
     target.token = order.fencingToken;
     target.stoppedAttempts[order.task] = std::max(target.stoppedAttempts[order.task], order.attempt);
-    after(stopTime, [this, index, order] {
+    after(target.stopTime, [this, index, order] {
         WorldWorker &worker = workers[index];
         for (std::size_t i = 0; i < worker.runs.size(); ++i) {
             if (worker.runs[i].task == order.task && worker.runs[i].attempt == order.attempt) {
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -42,6 +42,8 @@
     bool failsAll = false;
     /// Runs make no progress.
     bool stalled = false;
+    /// Time that a stop takes.
+    milliseconds stopTime{200};
     /// Daemons whose links to the worker are cut.
     std::set<std::size_t> unreachableFrom;
     std::uint64_t token = 0;
