dispatch: a new claim counts as confirmed from the request of its lease

Callers would see: a daemon that was frozen between the write of its claim and the reply no longer extends leases and starts tasks for up to 0.95 s after its claim's lease has ended and another daemon leads.

Cause: createDispatcher() set claimConfirmedAt to the arrival of the reply. The store counts the lease from the arrival of the request that opened it, so the reply can be read long after the claim has ended.

Why it works: leaseRequestedAt is not later than the start of the lease, so no other daemon can claim an absent claim earlier than one lease after it. keepAliveConfirmedAt, also an arrival, was used only for the logged takeover_ms, which is now counted from the request. runDiscoveryDeadline still counts from the reply, which follows the execution of the claim. "Claim written" logs the age of the lease.

--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -101,8 +101,8 @@
     /// the deadline has passed, inherited jobs are not started: any worker may still run them.
     MonotonicTime runDiscoveryDeadline{};
     bool runDiscoveryFinished = true;
-    /// Send time of the last keep-alive of the claim's lease that the store confirmed. One lease later, another daemon
-    /// may lead and have jobs that this one doesn't know.
+    /// Send time of the last request or keep-alive of the claim's lease that the store confirmed. One lease later,
+    /// another daemon may lead and have jobs that this one doesn't know.
     MonotonicTime claimConfirmedAt{};
     /// Whether leases may be extended and tasks started: no other daemon can have led for long enough to start
     /// elsewhere what this one keeps running.
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -135,6 +135,12 @@
     followLeader(node, decodeClaim(*claim), now);
 }
 
+void requestLease(Node &node, StorePurpose purpose, MonotonicTime now)
+{
+    node.leadership.leaseRequestedAt = now;
+    node.outbox.add(StoreOpenLease{.call = newStoreCall(node, purpose), .timeToLive = claimLease});
+}
+
 /// The control keys were read before a claim. This read is never stale.
 void handleClaimControlReply(Node &node, const StoreReply &reply, Now now)
 {
@@ -161,7 +167,7 @@
     }
     leadership.control = reply.items;
     setPhase(node, ClaimPhase::OpeningLease, now.monotonic);
-    node.outbox.add(StoreOpenLease{.call = newStoreCall(node, StorePurpose::ClaimLease), .timeToLive = claimLease});
+    requestLease(node, StorePurpose::ClaimLease, now.monotonic);
 }
 
 std::uint64_t revisionOf(const Leadership &leadership, std::string_view key)
@@ -195,7 +201,6 @@
         return;
     }
     leadership.lease = reply.lease;
-    leadership.keepAliveConfirmedAt = now.monotonic;
     StoreTransaction claim = claimTransaction(
         node, StorePurpose::ClaimWrite, revisionOf(leadership, claimKey), revisionOf(leadership, termKey));
     for (std::size_t stream = 0; stream < commitStreamCount; ++stream) {
@@ -221,13 +226,16 @@
     dispatcher.token = token;
     dispatcher.outbox = &node.outbox;
     dispatcher.commits.token = token;
-    dispatcher.claimConfirmedAt = now;
+    // The claim lasts as long as its lease, which the store counts from the arrival of the request. The reply to the
+    // claim proves nothing about the present: it may have waited until the lease had ended.
+    dispatcher.claimConfirmedAt = node.leadership.leaseRequestedAt;
     for (std::size_t stream = 0; stream < commitStreamCount; ++stream) {
         dispatcher.commits.streams.at(stream).key = chainKey(stream);
         dispatcher.commits.streams.at(stream).revision = token;
     }
     setConfiguration(dispatcher, node.configuration);
     const auto lease = std::chrono::duration<double, std::milli>(node.options.bounds.workerLease) * maxWorkerClockRatio;
+    // Counted from the reply, which is certain to follow the execution of the claim.
     dispatcher.runDiscoveryDeadline = now + std::chrono::ceil<milliseconds>(lease) + inheritanceMargin;
 }
 
@@ -258,8 +266,9 @@
         abandonClaim(node, now.monotonic);
         return;
     }
-    logLine(LogLevel::Info, logPart, "Claim written. token={} former={} former_token={}", reply.revision,
-        leadership.leader.node, leadership.leader.token);
+    logLine(LogLevel::Info, logPart, "Claim written. token={} former={} former_token={} lease_age_ms={}",
+        reply.revision, leadership.leader.node, leadership.leader.token,
+        std::chrono::floor<milliseconds>(now.monotonic - leadership.leaseRequestedAt).count());
     leadership.leader = {.token = reply.revision, .node = node.options.name, .endpoint = node.options.endpoint};
     leadership.term = reply.revision;
     leadership.leaderConnected = false;
@@ -376,7 +385,6 @@
         const bool retrying = std::ranges::any_of(
             node.dispatcher->commits.streams, [](const CommitStream &stream) { return !stream.inFlight.empty(); });
         health.failing = health.failing && retrying;
-        leadership.keepAliveConfirmedAt = now.monotonic;
         node.dispatcher->claimConfirmedAt = leadership.keepAliveSentAt;
         leadership.nextKeepAlive = now.monotonic + keepAliveInterval;
         return;
@@ -392,8 +400,7 @@
             "The lease of the leadership claim has expired; the claim is written again. token={}",
             leadership.leader.token);
         leadership.reclaiming = true;
-        node.outbox.add(
-            StoreOpenLease{.call = newStoreCall(node, StorePurpose::ReclaimLease), .timeToLive = claimLease});
+        requestLease(node, StorePurpose::ReclaimLease, now.monotonic);
     }
 }
 
@@ -601,7 +608,7 @@
     logLine(LogLevel::Info, logPart,
         "Jobs and workers loaded; this daemon leads. token={} jobs={} workers={} takeover_ms={}",
         leadership.leader.token, leadership.loadedJobs.size(), node.dispatcher->workers.workers.size(),
-        std::chrono::floor<milliseconds>(now.monotonic - leadership.keepAliveConfirmedAt).count());
+        std::chrono::floor<milliseconds>(now.monotonic - leadership.leaseRequestedAt).count());
     node.dispatcher->runDiscoveryFinished = leadership.loadedJobs.empty();
     leadership.loadedJobs.clear();
     leadership.loadedProgress.clear();
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -93,7 +93,8 @@
     std::uint64_t lease = 0;
     /// Revision of the term key after this daemon last wrote its claim.
     std::uint64_t term = 0;
-    MonotonicTime keepAliveConfirmedAt{};
+    /// When the lease of the claim was last requested from the store, which counts the lease from a later time.
+    MonotonicTime leaseRequestedAt{};
     MonotonicTime nextKeepAlive{};
     MonotonicTime keepAliveSentAt{};
     bool keepAliveOpen = false;
