dispatch: a report of a failing store counts from the message that it echoes

Callers would see: a leader without a confirmed claim no longer extends leases because of reports that were sent long ago, while a successor starts the same tasks elsewhere.

Cause: isLeaseExtensionSafe() counted a daemon's report that it can't reach the store from its arrival. After a freeze of the leader, or on a link that was slow or cut, reports wait in a socket and arrive after their sender has claimed.

Now each presence message has a number and echoes the newest number that its sender received from the addressee. A report was made after the leader sent the echoed number, and its age is counted from then. The numbers start at random, so an echo meant for a former process proves nothing, nor does a report without an echo (daemons of the previous version). A report that the store is reached voids all failing reports that echo no later number, since another connection may have delivered those late. Connected daemons count even if the store's list lacks them, and are kept like listed ones after they disconnect. A daemon that is claiming doesn't report a failing store: its last poll may have failed after its claim was executed. The new fields are at the end of the table.

Why it works: a daemon that follows and whose last poll had failed after the echoed number was sent can only lead by a claim that is executed later, and its takeover waits 1 s longer than the leases last. "Leases are ..." names the daemon that may lead and the age of its report.

--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -28,6 +28,8 @@
 constexpr milliseconds workerPollInterval{600};
 constexpr milliseconds workerPollRetry{150};
 constexpr milliseconds presenceInterval{300};
+/// An echo of an older presence message proves nothing that is still of use.
+constexpr milliseconds presenceSendTimesKept{2000};
 /// Two heartbeats and a half.
 constexpr milliseconds leaderResponsiveTime{700};
 /// After its writes have failed for this long, a leader reports it so that a daemon that reaches the store takes over.
@@ -208,15 +210,38 @@
     node.outbox.add(ReadWorkers{.call = node.workerPoll.call});
 }
 
+/// Numbers the presence messages that are sent now.
+void numberPresence(Node &node, MonotonicTime now)
+{
+    if (node.presenceNumber == 0) {
+        // The numbers of a former process of this name must not look like this one's. The upper half is left free so
+        // that the numbers don't wrap.
+        node.presenceNumber = nextRandom(node.random) >> 1;
+    }
+    ++node.presenceNumber;
+    std::erase_if(
+        node.presencesSent, [now](const PresenceSent &sent) { return now - sent.at > presenceSendTimesKept; });
+    node.presencesSent.push_back({.number = node.presenceNumber, .at = now});
+}
+
+void sendPresenceTo(Node &node, std::string_view name)
+{
+    Presence presence = presenceOf(node);
+    presence.number = node.presenceNumber;
+    const auto peer = node.peers.find(name);
+    presence.echo = peer == node.peers.end() ? 0 : peer->second.presenceNumber;
+    node.outbox.add(SendToNode{.node = std::string(name), .body = std::move(presence)});
+}
+
 void sendPresence(Node &node, Now now)
 {
     if (now.monotonic < node.nextPresence) {
         return;
     }
     node.nextPresence = now.monotonic + presenceInterval;
-    const Presence presence = presenceOf(node);
+    numberPresence(node, now.monotonic);
     for (const std::string &name : node.connectedNodes) {
-        node.outbox.add(SendToNode{.node = name, .body = presence});
+        sendPresenceTo(node, name);
     }
 }
 
@@ -239,6 +264,17 @@
     }
 }
 
+/// Age in milliseconds of the daemon's newest report that it can't reach the store, counted from what it echoes; -1 if
+/// there is none.
+std::int64_t reportAge(const Node &node, std::string_view name, Now now)
+{
+    const auto peer = node.peers.find(name);
+    if (peer == node.peers.end() || !peer->second.storeFailingAfter) {
+        return -1;
+    }
+    return std::chrono::floor<milliseconds>(now.monotonic - *peer->second.storeFailingAfter).count();
+}
+
 /// Leases are extended and tasks started only while no successor can be giving orders.
 void updateLeaseExtension(Node &node, Now now)
 {
@@ -246,9 +282,11 @@
     if (safe != node.dispatcher->canExtendLeases) {
         node.dispatcher->canExtendLeases = safe;
         node.dispatcher->placementDue = true;
-        logLine(LogLevel::Info, logPart, "Leases are {}. token={} claim_confirmed_ms_ago={}",
+        logLine(LogLevel::Info, logPart,
+            "Leases are {}. token={} claim_confirmed_ms_ago={} may_lead={} its_report_ms_ago={}",
             safe ? "extended again" : "not extended because another daemon may lead", node.dispatcher->token,
-            std::chrono::floor<milliseconds>(now.monotonic - node.dispatcher->claimConfirmedAt).count());
+            std::chrono::floor<milliseconds>(now.monotonic - node.dispatcher->claimConfirmedAt).count(),
+            daemonThatMayLead(node, now), reportAge(node, daemonThatMayLead(node, now), now));
     }
 }
 
@@ -281,11 +319,27 @@
     setReady(node, node.hasConfiguration && led && !node.shuttingDown);
 }
 
+void recordPeerState(Node &node, std::string_view from, const Presence &presence)
+{
+    PeerState &peer = node.peers[std::string(from)];
+    peer.cpuMilli = presence.cpuMilli;
+    peer.storeFailing = presence.storeFailing;
+    peer.presenceNumber = presence.number;
+    if (!presence.storeFailing) {
+        peer.storeReachedNumber = node.presenceNumber;
+        peer.storeFailingAfter.reset();
+        return;
+    }
+    const auto sent = std::ranges::find(node.presencesSent, presence.echo, &PresenceSent::number);
+    if (sent != node.presencesSent.end() && presence.echo > peer.storeReachedNumber) {
+        peer.storeFailingAfter = std::max(peer.storeFailingAfter.value_or(sent->at), sent->at);
+    }
+}
+
 void handlePresence(Node &node, std::string_view from, const Presence &presence, Now now)
 {
     Leadership &leadership = node.leadership;
-    node.peers[std::string(from)]
-        = {.cpuMilli = presence.cpuMilli, .storeFailing = presence.storeFailing, .presenceReceivedAt = now.monotonic};
+    recordPeerState(node, from, presence);
     if (from == leadership.leader.node && !isLeading(node)) {
         if (presence.leader.token == 0 && leadership.leaderConnected) {
             // The leader has resigned; its claim is deleted or about to be.
@@ -362,7 +416,10 @@
             : node.leadership.leader,
         .configVersion = node.configuration.version,
         .cpuMilli = node.options.cpuMilli,
-        .storeFailing = isLeading(node) ? node.storeFailing : node.leadership.pollFailed};
+        // The last poll may have failed after this daemon's claim was executed. An attempt to claim therefore counts
+        // as reaching the store.
+        .storeFailing = isLeading(node) ? node.storeFailing
+                                        : node.leadership.pollFailed && node.leadership.phase == ClaimPhase::Following};
 }
 
 void handleStoreReply(Node &node, const StoreReply &reply, Now now)
@@ -467,7 +524,8 @@
     if (std::ranges::find(node.connectedNodes, name) == node.connectedNodes.end()) {
         node.connectedNodes.emplace_back(name);
     }
-    node.outbox.add(SendToNode{.node = std::string(name), .body = presenceOf(node)});
+    numberPresence(node, now.monotonic);
+    sendPresenceTo(node, name);
     updateAdviceChannels(node);
     if (name == node.leadership.leader.node) {
         node.leadership.leaderConnected = true;
@@ -481,6 +539,7 @@
 void handleNodeDisconnected(Node &node, std::string_view name, Now now)
 {
     std::erase(node.connectedNodes, name);
+    keepUnlistedMember(node, name, now);
     if (const auto peer = node.peers.find(name); peer != node.peers.end()) {
         node.peers.erase(peer);
     }
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -112,7 +112,8 @@
 {
     std::string name;
     std::int64_t cpuMilli = 0;
-    /// Whether the most recent list contains this daemon, and when a list last did.
+    /// Whether the most recent list contains this daemon, and when a list last did or, if none does, when its
+    /// connection ended.
     bool listed = true;
     MonotonicTime listedAt{};
 };
@@ -166,7 +167,20 @@
 {
     std::int64_t cpuMilli = 0;
     bool storeFailing = false;
-    MonotonicTime presenceReceivedAt{};
+    /// Number of its last presence message, which is echoed to it.
+    std::uint64_t presenceNumber = 0;
+    /// Newest presence number that this daemon had sent when the peer last reported that it reaches the store. Reports
+    /// that echo no higher number may be older than that one.
+    std::uint64_t storeReachedNumber = 0;
+    /// When this daemon sent what the newest report of a failing store echoes; the report was made after this. The
+    /// arrival proves nothing: a message may wait in a socket for seconds. Empty if there is no such report.
+    std::optional<MonotonicTime> storeFailingAfter;
+};
+
+struct PresenceSent
+{
+    std::uint64_t number = 0;
+    MonotonicTime at{};
 };
 
 struct WorkerPoll
@@ -199,6 +213,9 @@
     /// By name; of connected daemons.
     std::map<std::string, PeerState, std::less<>> peers;
     MonotonicTime nextPresence{};
+    /// The presence messages that this daemon sent recently, oldest first.
+    std::vector<PresenceSent> presencesSent;
+    std::uint64_t presenceNumber = 0;
     bool ready = false;
     /// The state that this daemon, as the leader, last reported to its followers.
     bool storeFailing = false;
@@ -245,7 +262,7 @@
 /// A message from the connected leader arrived recently. Such a leader may still rewrite a claim that is missing.
 bool isLeaderResponsive(const Leadership &leadership, Now now);
 
-/// The state that this daemon reports to the others.
+/// The state that this daemon reports to the others, without a number.
 Presence presenceOf(const Node &node);
 
 } // namespace wigeonkeel::dispatch
--- a/core/dispatch/peer_messages.h
+++ b/core/dispatch/peer_messages.h
@@ -28,8 +28,13 @@
     std::uint64_t configVersion = 0;
     /// Processor share of the sender's VM in thousandths of a core.
     std::int64_t cpuMilli = 0;
-    /// The sender leads and its writes to the store fail, or it follows and its reads fail.
+    /// The sender leads and its writes to the store fail, or it follows and its reads fail. False during an attempt to
+    /// claim leadership.
     bool storeFailing = false;
+    /// Rises with each message of the sender, from a random start; 0 if it is not numbered.
+    std::uint64_t number = 0;
+    /// The number that the sender last received from the addressee: this message was sent after that one. 0 if none.
+    std::uint64_t echo = 0;
 };
 
 /// A client's call that a follower forwards to the leader.
--- a/core/dispatch/succession.cpp
+++ b/core/dispatch/succession.cpp
@@ -105,6 +105,17 @@
     std::erase_if(members, [now](const Member &member) { return now.monotonic - member.listedAt > memberRetention; });
 }
 
+void keepUnlistedMember(Node &node, std::string_view name, Now now)
+{
+    std::vector<Member> &members = node.membership.members;
+    const auto member = std::ranges::find(members, name, &Member::name);
+    if (member == members.end()) {
+        members.push_back({.name = std::string(name), .listed = false, .listedAt = now.monotonic});
+    } else if (!member->listed) {
+        member->listedAt = now.monotonic;
+    }
+}
+
 milliseconds rankDelay(const Node &node)
 {
     const auto isBefore = [&node](const Member &member) {
@@ -144,18 +155,28 @@
     return now.monotonic >= leadership.claimAt;
 }
 
+std::string_view daemonThatMayLead(const Node &node, Now now)
+{
+    const auto mayLead = [&](std::string_view name) {
+        const auto peer = node.peers.find(name);
+        return peer == node.peers.end() || !peer->second.storeFailingAfter
+            || now.monotonic - *peer->second.storeFailingAfter >= claimConfirmationValidity;
+    };
+    for (const Member &member : node.membership.members) {
+        if (member.name != node.options.name && mayLead(member.name)) {
+            return member.name;
+        }
+    }
+    const auto connected = std::ranges::find_if(node.connectedNodes, mayLead);
+    return connected == node.connectedNodes.end() ? std::string_view() : *connected;
+}
+
 bool isLeaseExtensionSafe(const Node &node, Now now)
 {
     if (now.monotonic - node.dispatcher->claimConfirmedAt < claimConfirmationValidity) {
         return true;
     }
-    const std::vector<Member> &members = node.membership.members;
-    return !members.empty() && std::ranges::all_of(members, [&](const Member &member) {
-        const auto peer = node.peers.find(member.name);
-        const bool cannotReachStore = peer != node.peers.end() && peer->second.storeFailing
-            && now.monotonic - peer->second.presenceReceivedAt < claimConfirmationValidity;
-        return member.name == node.options.name || cannotReachStore;
-    });
+    return !node.membership.members.empty() && daemonThatMayLead(node, now).empty();
 }
 
 std::string_view reasonToResign(Node &node, Now now)
--- a/core/dispatch/succession.h
+++ b/core/dispatch/succession.h
@@ -18,6 +18,9 @@
 /// outage of the store the leases of running daemons expire too.
 void updateMembers(Node &node, std::span<const StoreItem> items, std::string_view prefix, Now now);
 
+/// Keeps a daemon that has disconnected but is not in the list: it may be running and write the claim.
+void keepUnlistedMember(Node &node, std::string_view name, Now now);
+
 /// How long this daemon waits before it claims, so that daemons of a higher rank can claim first.
 milliseconds rankDelay(const Node &node);
 
@@ -30,9 +33,13 @@
 /// Why this leader should resign in favour of another daemon; empty if it should not.
 std::string_view reasonToResign(Node &node, Now now);
 
+/// The name of a known daemon that may have claimed leadership: it has not provably reported within the time that a
+/// takeover adds to a lease that it can't reach the store. Empty if there is none.
+std::string_view daemonThatMayLead(const Node &node, Now now);
+
 /// True while this leader may extend worker leases, because any successor's takeover would wait until the extended
 /// leases expire. That holds if the store confirmed the claim within the time that a takeover adds to a lease, or if
-/// every other daemon has reported a moment ago that it can't reach the store either.
+/// every other daemon reported within this time that it can't reach the store either.
 bool isLeaseExtensionSafe(const Node &node, Now now);
 
 } // namespace wigeonkeel::dispatch
--- a/drivers/cluster_protocol/cluster_codec.cpp
+++ b/drivers/cluster_protocol/cluster_codec.cpp
@@ -32,7 +32,8 @@
 {
     const auto offset = wire::CreatePresence(builder, builder.CreateString(presence.node), presence.leader.token,
         builder.CreateString(presence.leader.node), builder.CreateString(presence.leader.endpoint.ip),
-        presence.leader.endpoint.port, presence.configVersion, presence.storeFailing, presence.cpuMilli);
+        presence.leader.endpoint.port, presence.configVersion, presence.storeFailing, presence.cpuMilli,
+        presence.number, presence.echo);
     return {wire::Body::Presence, offset.Union()};
 }
 
@@ -118,7 +119,9 @@
             .endpoint = {.ip = textOf(presence.leader_ip()), .port = presence.leader_port()}},
         .configVersion = presence.config_version(),
         .cpuMilli = presence.cpu_milli(),
-        .storeFailing = presence.store_failing()};
+        .storeFailing = presence.store_failing(),
+        .number = presence.number(),
+        .echo = presence.echo()};
 }
 
 PeerBody read(const wire::Call &call)
--- a/drivers/cluster_protocol/cluster_generated.h
+++ b/drivers/cluster_protocol/cluster_generated.h
@@ -146,7 +146,9 @@
     VT_LEADER_PORT = 12,
     VT_CONFIG_VERSION = 14,
     VT_STORE_FAILING = 16,
-    VT_CPU_MILLI = 18
+    VT_CPU_MILLI = 18,
+    VT_NUMBER = 20,
+    VT_ECHO = 22
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -172,6 +174,12 @@
   int64_t cpu_milli() const {
     return GetField<int64_t>(VT_CPU_MILLI, 0);
   }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint64_t echo() const {
+    return GetField<uint64_t>(VT_ECHO, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -185,6 +193,8 @@
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            VerifyField<uint8_t>(verifier, VT_STORE_FAILING, 1) &&
            VerifyField<int64_t>(verifier, VT_CPU_MILLI, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ECHO, 8) &&
            verifier.EndTable();
   }
 };
@@ -217,6 +227,12 @@
   void add_cpu_milli(int64_t cpu_milli) {
     fbb_.AddElement<int64_t>(Presence::VT_CPU_MILLI, cpu_milli, 0);
   }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(Presence::VT_NUMBER, number, 0);
+  }
+  void add_echo(uint64_t echo) {
+    fbb_.AddElement<uint64_t>(Presence::VT_ECHO, echo, 0);
+  }
   explicit PresenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -237,8 +253,12 @@
     uint16_t leader_port = 0,
     uint64_t config_version = 0,
     bool store_failing = false,
-    int64_t cpu_milli = 0) {
+    int64_t cpu_milli = 0,
+    uint64_t number = 0,
+    uint64_t echo = 0) {
   PresenceBuilder builder_(_fbb);
+  builder_.add_echo(echo);
+  builder_.add_number(number);
   builder_.add_cpu_milli(cpu_milli);
   builder_.add_config_version(config_version);
   builder_.add_token(token);
@@ -259,7 +279,9 @@
     uint16_t leader_port = 0,
     uint64_t config_version = 0,
     bool store_failing = false,
-    int64_t cpu_milli = 0) {
+    int64_t cpu_milli = 0,
+    uint64_t number = 0,
+    uint64_t echo = 0) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   auto leader_ip__ = leader_ip ? _fbb.CreateString(leader_ip) : 0;
@@ -272,7 +294,9 @@
       leader_port,
       config_version,
       store_failing,
-      cpu_milli);
+      cpu_milli,
+      number,
+      echo);
 }
 
 struct Call FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/dispatch/claim_freshness_test.cpp
+++ b/tests/dispatch/claim_freshness_test.cpp
@@ -12,6 +12,33 @@
 {
 
 constexpr milliseconds settleTime{3000};
+/// Longer than a claim counts as confirmed.
+constexpr milliseconds claimOutdated{2000};
+
+/// A leader whose claim was last confirmed long ago, with one follower.
+struct LeaderWithOldClaim
+{
+    LeaderWithOldClaim()
+    {
+        world.run(settleTime);
+        leader = world.leader();
+        other = world.leaderIndex() == 0 ? "n1" : "n0";
+        leader->dispatcher->claimConfirmedAt = world.now().monotonic - claimOutdated;
+    }
+
+    void report(bool storeFailing, std::uint64_t echo)
+    {
+        handlePeerMessage(*leader, other,
+            Presence{.node = other, .leader = leader->leadership.leader, .storeFailing = storeFailing, .echo = echo},
+            world.now());
+    }
+
+    bool isSafe() const { return isLeaseExtensionSafe(*leader, world.now()); }
+
+    World world{2, 0};
+    Node *leader = nullptr;
+    std::string other;
+};
 
 } // namespace
 
@@ -46,3 +73,89 @@
     CHECK(claimant.node->dispatcher != nullptr);
     CHECK_FALSE(isLeaseExtensionSafe(*claimant.node, world.now()));
 }
+
+// Guards against two leaders that both keep runs alive: a leader that was frozen in an outage of the store resumes,
+// reads reports that were sent before another daemon claimed, and takes them for new ones.
+TEST(DispatchClaimFreshness, ReportsThatWaitedInASocketDoNotAllowExtensions)
+{
+    World world(2, 2);
+    world.run(settleTime);
+    const std::size_t former = world.leaderIndex();
+    const std::size_t successor = former == 0 ? 1 : 0;
+    world.store.down = true;
+    world.run(milliseconds(2500));
+    CHECK(world.nodes[former].node->dispatcher->canExtendLeases);
+    world.nodes[former].paused = true;
+    world.run(milliseconds(400));
+    world.nodes[former].dropsPeerMessages = true;
+    world.store.down = false;
+    world.store.refusedNodes.insert(former);
+    CHECK(world.runUntil([&] { return isLeading(*world.nodes[successor].node); }, milliseconds(4000)));
+    // Until here the reports may still count, as a takeover waits 1 s longer than the leases last.
+    world.run(milliseconds(1000));
+    world.nodes[former].paused = false;
+    for (int i = 0; i < 300 && world.nodes[former].node->dispatcher; ++i) {
+        world.run(milliseconds(1));
+        CHECK_FALSE(isLeaseExtensionSafe(*world.nodes[former].node, world.now()));
+    }
+}
+
+// Guards against a stricter rule that stops all extensions in an outage of the store that every daemon sees.
+TEST(DispatchClaimFreshness, LeasesAreExtendedWhileAllDaemonsReportAnOutage)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        World world(5, 2, seed);
+        world.run(settleTime);
+        const std::size_t leader = world.leaderIndex();
+        world.store.down = true;
+        world.run(milliseconds(2500));
+        for (int i = 0; i < 200; ++i) {
+            world.run(milliseconds(10));
+            CHECK(world.nodes[leader].node->dispatcher->canExtendLeases);
+        }
+    }
+}
+
+// Guards against a report without proof of its age, as daemons of the previous version send it.
+TEST(DispatchClaimFreshness, AReportWithoutAKnownEchoProvesNothing)
+{
+    LeaderWithOldClaim setup;
+    setup.report(true, 0);
+    CHECK_FALSE(setup.isSafe());
+    setup.report(true, setup.leader->presenceNumber + 1);
+    CHECK_FALSE(setup.isSafe());
+    setup.report(true, setup.leader->presenceNumber);
+    CHECK(setup.isSafe());
+}
+
+// Guards against a report that another connection delivers after a newer one.
+TEST(DispatchClaimFreshness, AReportThatWasOvertakenProvesNothing)
+{
+    LeaderWithOldClaim setup;
+    setup.report(false, setup.leader->presenceNumber);
+    setup.report(true, setup.leader->presenceNumber);
+    CHECK_FALSE(setup.isSafe());
+}
+
+// Guards against a daemon that the store's list does not contain yet, but that has connected and may claim.
+TEST(DispatchClaimFreshness, AConnectedDaemonOutsideTheListCanLead)
+{
+    LeaderWithOldClaim setup;
+    std::erase_if(setup.leader->membership.members, [&](const Member &member) { return member.name == setup.other; });
+    CHECK_FALSE(setup.isSafe());
+    handleNodeDisconnected(*setup.leader, setup.other, setup.world.now());
+    handleNodeConnected(*setup.leader, "n9", setup.world.now());
+    handleNodeDisconnected(*setup.leader, "n9", setup.world.now());
+    CHECK_FALSE(setup.isSafe());
+}
+
+// Guards against a claim that is executed before a report of its writer that the store fails.
+TEST(DispatchClaimFreshness, ADaemonThatIsClaimingDoesNotReportAFailingStore)
+{
+    World world(1, 0);
+    Node &node = *world.nodes[0].node;
+    node.leadership.pollFailed = true;
+    CHECK(presenceOf(node).storeFailing);
+    node.leadership.phase = ClaimPhase::WritingClaim;
+    CHECK_FALSE(presenceOf(node).storeFailing);
+}
