dispatch: a claim belongs to a process, not to a name

Callers would see: when a VM is replaced by one of the same name while the old process still runs, the old one no longer leads under the token of the new one, and the new one doesn't replace the claim of the old one as if that had ended.

Cause: a claim that was found in the store counted as this daemon's own if it had its name: in handleReclaimWriteReply() as a write whose reply was lost, in handleClaimControlReply() and followLeader() as one of a former process.

Now each process draws a random identity and writes it into the term, in the same transaction as the claim. A claim is adopted only with the own identity. A claim is taken for one of a former process that has ended only if it has the own name and the own endpoint, on which this process listens. Otherwise its writer is followed like any other. Terms without an identity are still read and never adopted. The identity isn't in the claim itself, because daemons of the previous version reject a claim with a fourth field; they would not follow the leader during an update.

AClaimOfAFormerProcessAtThisEndpointIsReplaced guards the case that stays.

Why it works: two processes draw the same 64-bit number with negligible probability, and the term belongs to the claim if both have the same revision. Log lines of claims and leaders name the identity.

--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -19,7 +19,8 @@
 constexpr std::string_view controlPrefix = "wk/ctl/";
 constexpr std::string_view claimKey = "wk/ctl/leader";
 /// Written with every claim, but without a lease. Its revision shows whether another daemon has led since, even if that
-/// daemon's claim no longer exists.
+/// daemon's claim no longer exists. The value also holds the identity of the process that claimed. It is not in the
+/// claim because daemons of the previous version reject a claim with a fourth field and would not follow.
 constexpr std::string_view termKey = "wk/ctl/term";
 /// Keep-alives are sent four times within the duration of the lease, so that single lost replies don't end it.
 constexpr milliseconds keepAliveInterval{250};
@@ -54,6 +55,20 @@
     return fmt::format("{} {} {}", node.options.name, node.options.endpoint.ip, node.options.endpoint.port);
 }
 
+std::string encodeTerm(const Node &node)
+{
+    return fmt::format("{} {}", node.options.name, node.identity);
+}
+
+/// The identity in a term; 0 if its writer's version did not write one.
+std::uint64_t identityInTerm(const StoreItem &term)
+{
+    const auto space = term.value.find(' ');
+    return space == std::string::npos
+        ? 0
+        : parseInteger<std::uint64_t>(std::string_view(term.value).substr(space + 1)).value_or(0);
+}
+
 LeaderInfo decodeClaim(const StoreItem &item)
 {
     LeaderInfo leader{.token = item.revision, .node = {}, .endpoint = {}};
@@ -78,6 +93,22 @@
     return found == items.end() || found->revision == 0 ? nullptr : &*found;
 }
 
+/// The claim among the control keys, with its writer's identity. The term belongs to it if the same transaction wrote
+/// both.
+LeaderInfo findClaim(std::span<const StoreItem> items)
+{
+    const StoreItem *claim = findItem(items, claimKey);
+    if (claim == nullptr) {
+        return {};
+    }
+    LeaderInfo leader = decodeClaim(*claim);
+    const StoreItem *term = findItem(items, termKey);
+    if (term != nullptr && term->revision == claim->revision) {
+        leader.identity = identityInTerm(*term);
+    }
+    return leader;
+}
+
 void readControl(Node &node, StorePurpose purpose, bool allowStale)
 {
     node.outbox.add(StoreRange{.call = newStoreCall(node, purpose),
@@ -132,7 +163,7 @@
         return;
     }
     leadership.claimMissing = false;
-    followLeader(node, decodeClaim(*claim), now);
+    followLeader(node, findClaim(reply.items), now);
 }
 
 void requestLease(Node &node, StorePurpose purpose, MonotonicTime now)
@@ -152,13 +183,11 @@
         abandonClaim(node, now.monotonic);
         return;
     }
-    const StoreItem *claim = findItem(reply.items, claimKey);
-    if (claim != nullptr) {
-        const LeaderInfo present = decodeClaim(*claim);
+    if (findItem(reply.items, claimKey) != nullptr) {
+        const LeaderInfo present = findClaim(reply.items);
         const bool isGone = (leadership.leaderConnectionRefused || leadership.leaderStoreFailing)
             && present.token == leadership.leader.token;
-        const bool isOwn = present.node == node.options.name;
-        if (!isGone && !isOwn) {
+        if (!isGone && !isFromThisEndpoint(node, present)) {
             abandonClaim(node, now.monotonic);
             leadership.claimMissing = false;
             followLeader(node, present, now);
@@ -185,7 +214,7 @@
         .conditions = {{.key = std::string(claimKey), .revision = claimRevision},
             {.key = std::string(termKey), .revision = termRevision}},
         .writes = {{.key = std::string(claimKey), .value = encodeClaim(node), .lease = node.leadership.lease},
-            {.key = std::string(termKey), .value = node.options.name}},
+            {.key = std::string(termKey), .value = encodeTerm(node)}},
         .deletes = {},
         .timeout = claimTimeout};
 }
@@ -266,10 +295,13 @@
         abandonClaim(node, now.monotonic);
         return;
     }
-    logLine(LogLevel::Info, logPart, "Claim written. token={} former={} former_token={} lease_age_ms={}",
-        reply.revision, leadership.leader.node, leadership.leader.token,
+    logLine(LogLevel::Info, logPart, "Claim written. token={} identity={} former={} former_token={} lease_age_ms={}",
+        reply.revision, node.identity, leadership.leader.node, leadership.leader.token,
         std::chrono::floor<milliseconds>(now.monotonic - leadership.leaseRequestedAt).count());
-    leadership.leader = {.token = reply.revision, .node = node.options.name, .endpoint = node.options.endpoint};
+    leadership.leader = {.token = reply.revision,
+        .node = node.options.name,
+        .endpoint = node.options.endpoint,
+        .identity = node.identity};
     leadership.term = reply.revision;
     leadership.leaderConnected = false;
     leadership.leaderConnectionRefused = false;
@@ -455,20 +487,21 @@
     const StoreItem *claim = findItem(reply.items, claimKey);
     const StoreItem *term = findItem(reply.items, termKey);
     const std::uint64_t termRevision = term == nullptr ? 0 : term->revision;
-    const LeaderInfo present = claim == nullptr ? LeaderInfo{} : decodeClaim(*claim);
-    if (present.node == node.options.name && present.token == termRevision) {
+    const LeaderInfo present = findClaim(reply.items);
+    if (present.identity == node.identity && present.token == termRevision) {
         // The previous write took effect, but its reply was lost.
         adoptNewToken(node, present.token, now);
         return;
     }
-    if (claim == nullptr && term != nullptr && term->value == node.options.name) {
+    if (claim == nullptr && term != nullptr && identityInTerm(*term) == node.identity) {
         // This daemon's previous write took effect, but its reply was lost and its lease has expired since.
         leadership.term = termRevision;
     }
     if (termRevision != leadership.term) {
         logLine(LogLevel::Warning, logPart,
-            "Another daemon has led since the claim was written. term={} present_term={}", leadership.term,
-            termRevision);
+            "Another daemon has led since the claim was written. term={} present_term={} present_leader={} "
+            "present_identity={} identity={}",
+            leadership.term, termRevision, present.node, present.identity, node.identity);
         followLeader(node, present, now);
         if (node.dispatcher) {
             stepDown(node, StepDownKind::Replaced, "another daemon has led since the claim was written", now);
@@ -492,6 +525,13 @@
     writeClaimAgain(node, leadership.leader.token);
 }
 
+/// Without both identities only the names can be compared.
+bool isSameProcess(const LeaderInfo &claim, const LeaderInfo &other)
+{
+    const bool known = claim.identity != 0 && other.identity != 0;
+    return claim.node == other.node && (!known || claim.identity == other.identity);
+}
+
 void tickLeader(Node &node, Now now)
 {
     Leadership &leadership = node.leadership;
@@ -541,26 +581,31 @@
     node.outbox.add(DialNode{.endpoint = wanted});
 }
 
+bool isFromThisEndpoint(const Node &node, const LeaderInfo &claim)
+{
+    return claim.node == node.options.name && claim.endpoint == node.options.endpoint;
+}
+
 void followLeader(Node &node, const LeaderInfo &leader, Now now)
 {
     Leadership &leadership = node.leadership;
     if (leader.token <= leadership.leader.token) {
         return;
     }
-    if (leader.node == node.options.name && leadership.phase == ClaimPhase::Following) {
+    if (isFromThisEndpoint(node, leader) && leadership.phase == ClaimPhase::Following) {
         // The claim was written by this daemon's former process, so it can be replaced.
         leadership.claimMissing = true;
         leadership.claimMissingSince = now.monotonic;
         return;
     }
-    logLine(LogLevel::Info, logPart, "Following a new leader. leader={} token={} before={}", leader.node, leader.token,
-        leadership.leader.token);
+    logLine(LogLevel::Info, logPart, "Following a new leader. leader={} identity={} token={} before={}", leader.node,
+        leader.identity, leader.token, leadership.leader.token);
     if (node.dispatcher || leadership.phase != ClaimPhase::Following) {
         stepDown(node, StepDownKind::Replaced, "another daemon has claimed leadership", now);
     }
     // A leader that wrote its claim again under a new token still has the calls that were forwarded to it. If a call
     // were forwarded twice, one copy could be rejected and the other one run.
-    const bool sameProcess = leader.node == leadership.leader.node && leadership.leaderConnected;
+    const bool sameProcess = leadership.leaderConnected && isSameProcess(leader, leadership.leader);
     leadership.leader = leader;
     // The connection may be open already, if the leader is a seed or has connected to this daemon itself.
     leadership.leaderConnected = std::ranges::find(node.connectedNodes, leader.node) != node.connectedNodes.end();
--- a/core/dispatch/leadership.h
+++ b/core/dispatch/leadership.h
@@ -8,6 +8,11 @@
 /// Follows this leader if its token is higher than that of the known leader. Steps down if this daemon leads.
 void followLeader(Node &node, const LeaderInfo &leader, Now now);
 
+/// True if the claim was written by this process or by a former one on the same VM, which has ended: both listen on the
+/// same endpoint. The name alone doesn't prove it: after a planned replacement another VM may have it while the former
+/// one still runs.
+bool isFromThisEndpoint(const Node &node, const LeaderInfo &claim);
+
 enum class StepDownKind : std::uint8_t {
     /// Another daemon leads already.
     Replaced,
--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -411,7 +411,7 @@
 Presence presenceOf(const Node &node)
 {
     return {.node = node.options.name,
-        .leader = node.leadership.phase == ClaimPhase::Following && node.leadership.leader.node == node.options.name
+        .leader = node.leadership.phase == ClaimPhase::Following && isFromThisEndpoint(node, node.leadership.leader)
             ? LeaderInfo{}
             : node.leadership.leader,
         .configVersion = node.configuration.version,
@@ -565,6 +565,9 @@
 
 void tick(Node &node, Now now)
 {
+    while (node.identity == 0) {
+        node.identity = nextRandom(node.random);
+    }
     tickConfiguration(node, now);
     tickMembership(node, now);
     tickLeadership(node, now);
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -196,6 +196,8 @@
     NodeOptions options;
     Outbox outbox;
     RandomState random;
+    /// Distinguishes this process from others of the same name; drawn by the first tick.
+    std::uint64_t identity = 0;
     Configuration configuration;
     bool hasConfiguration = false;
     ConfigWatch configWatch;
--- a/core/dispatch/peer_messages.h
+++ b/core/dispatch/peer_messages.h
@@ -18,6 +18,9 @@
     std::uint64_t token = 0;
     std::string node;
     Endpoint endpoint;
+    /// Random number of the process that claimed; 0 if it is unknown. A name may pass to another VM while the former
+    /// one still runs.
+    std::uint64_t identity = 0;
 };
 
 /// Sent when a connection opens, after every change of leader, and as a heartbeat.
--- a/drivers/cluster_protocol/cluster_codec.cpp
+++ b/drivers/cluster_protocol/cluster_codec.cpp
@@ -33,7 +33,7 @@
     const auto offset = wire::CreatePresence(builder, builder.CreateString(presence.node), presence.leader.token,
         builder.CreateString(presence.leader.node), builder.CreateString(presence.leader.endpoint.ip),
         presence.leader.endpoint.port, presence.configVersion, presence.storeFailing, presence.cpuMilli,
-        presence.number, presence.echo);
+        presence.number, presence.echo, presence.leader.identity);
     return {wire::Body::Presence, offset.Union()};
 }
 
@@ -116,7 +116,8 @@
     return Presence{.node = textOf(presence.node()),
         .leader = {.token = presence.token(),
             .node = textOf(presence.leader()),
-            .endpoint = {.ip = textOf(presence.leader_ip()), .port = presence.leader_port()}},
+            .endpoint = {.ip = textOf(presence.leader_ip()), .port = presence.leader_port()},
+            .identity = presence.leader_identity()},
         .configVersion = presence.config_version(),
         .cpuMilli = presence.cpu_milli(),
         .storeFailing = presence.store_failing(),
--- a/drivers/cluster_protocol/cluster_generated.h
+++ b/drivers/cluster_protocol/cluster_generated.h
@@ -148,7 +148,8 @@
     VT_STORE_FAILING = 16,
     VT_CPU_MILLI = 18,
     VT_NUMBER = 20,
-    VT_ECHO = 22
+    VT_ECHO = 22,
+    VT_LEADER_IDENTITY = 24
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -180,6 +181,9 @@
   uint64_t echo() const {
     return GetField<uint64_t>(VT_ECHO, 0);
   }
+  uint64_t leader_identity() const {
+    return GetField<uint64_t>(VT_LEADER_IDENTITY, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -195,6 +199,7 @@
            VerifyField<int64_t>(verifier, VT_CPU_MILLI, 8) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            VerifyField<uint64_t>(verifier, VT_ECHO, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LEADER_IDENTITY, 8) &&
            verifier.EndTable();
   }
 };
@@ -233,6 +238,9 @@
   void add_echo(uint64_t echo) {
     fbb_.AddElement<uint64_t>(Presence::VT_ECHO, echo, 0);
   }
+  void add_leader_identity(uint64_t leader_identity) {
+    fbb_.AddElement<uint64_t>(Presence::VT_LEADER_IDENTITY, leader_identity, 0);
+  }
   explicit PresenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -255,8 +263,10 @@
     bool store_failing = false,
     int64_t cpu_milli = 0,
     uint64_t number = 0,
-    uint64_t echo = 0) {
+    uint64_t echo = 0,
+    uint64_t leader_identity = 0) {
   PresenceBuilder builder_(_fbb);
+  builder_.add_leader_identity(leader_identity);
   builder_.add_echo(echo);
   builder_.add_number(number);
   builder_.add_cpu_milli(cpu_milli);
@@ -281,7 +291,8 @@
     bool store_failing = false,
     int64_t cpu_milli = 0,
     uint64_t number = 0,
-    uint64_t echo = 0) {
+    uint64_t echo = 0,
+    uint64_t leader_identity = 0) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   auto leader_ip__ = leader_ip ? _fbb.CreateString(leader_ip) : 0;
@@ -296,7 +307,8 @@
       store_failing,
       cpu_milli,
       number,
-      echo);
+      echo,
+      leader_identity);
 }
 
 struct Call FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/dispatch/claim_freshness_test.cpp
+++ b/tests/dispatch/claim_freshness_test.cpp
@@ -1,3 +1,4 @@
+#include "core/dispatch/leadership.h"
 #include "core/dispatch/succession.h"
 #include "tests/dispatch/dispatch_world.h"
 
@@ -15,6 +16,18 @@
 /// Longer than a claim counts as confirmed.
 constexpr milliseconds claimOutdated{2000};
 
+constexpr std::string_view foreignClaim = "n0 10.9.9.9 7";
+const Endpoint foreignEndpoint{.ip = "10.9.9.9", .port = 7};
+
+/// Writes the claim of another process that has the name n0, too.
+std::uint64_t writeForeignClaim(World &world, std::string_view term)
+{
+    const std::uint64_t revision = ++world.store.revision;
+    world.store.items["wk/ctl/leader"] = {.value = std::string(foreignClaim), .revision = revision};
+    world.store.items["wk/ctl/term"] = {.value = std::string(term), .revision = revision};
+    return revision;
+}
+
 /// A leader whose claim was last confirmed long ago, with one follower.
 struct LeaderWithOldClaim
 {
@@ -159,3 +172,74 @@
     node.leadership.phase = ClaimPhase::WritingClaim;
     CHECK_FALSE(presenceOf(node).storeFailing);
 }
+
+// Guards against two leaders with one fencing token: after a planned replacement the old process takes the claim of the
+// new one, which has its name, for its own claim whose reply was lost.
+TEST(DispatchClaimFreshness, AClaimOfAnotherProcessOfTheSameNameIsNotAdopted)
+{
+    for (const std::string_view term : {"n0", "n0 1"}) {
+        World world(1, 2);
+        world.run(settleTime);
+        Node &node = *world.nodes[0].node;
+        CHECK(isLeading(node));
+        world.store.leases.clear();
+        const std::uint64_t token = writeForeignClaim(world, term);
+        for (int i = 0; i < 400; ++i) {
+            world.run(milliseconds(1));
+            CHECK_FALSE(node.dispatcher && node.dispatcher->token == token);
+        }
+    }
+}
+
+// Guards against the same adoption once the claim of the other process has ended and only the term shows it.
+TEST(DispatchClaimFreshness, ATermOfAnotherProcessOfTheSameNameIsNotAdopted)
+{
+    for (const std::string_view term : {"n0", "n0 1"}) {
+        World world(1, 2);
+        world.run(settleTime);
+        Node &node = *world.nodes[0].node;
+        CHECK(isLeading(node));
+        world.store.leases.clear();
+        world.store.items.erase("wk/ctl/leader");
+        world.store.items["wk/ctl/term"] = {.value = std::string(term), .revision = ++world.store.revision};
+        CHECK(world.runUntil([&] { return !node.dispatcher; }, milliseconds(400)));
+    }
+}
+
+// Guards against a daemon that replaces the claim of a running process because it has the same name.
+TEST(DispatchClaimFreshness, AClaimOfTheSameNameAtAnotherEndpointIsNotReplaced)
+{
+    World world(1, 0);
+    Node &node = *world.nodes[0].node;
+    for (int i = 0; i < 3000 && node.leadership.phase != ClaimPhase::ReadingControl; ++i) {
+        world.run(milliseconds(1));
+    }
+    CHECK(node.leadership.phase == ClaimPhase::ReadingControl);
+    const std::uint64_t token = writeForeignClaim(world, "n0 1");
+    world.run(milliseconds(50));
+    CHECK(world.store.items.at("wk/ctl/leader").value == foreignClaim);
+    CHECK_EQUAL(token, node.leadership.leader.token);
+}
+
+// Guards against a daemon that takes such a claim for one of its former process and waits to replace it.
+TEST(DispatchClaimFreshness, ALeaderOfTheSameNameAtAnotherEndpointIsFollowed)
+{
+    World world(1, 0);
+    Node &node = *world.nodes[0].node;
+    const LeaderInfo claim{.token = 40, .node = "n0", .endpoint = foreignEndpoint, .identity = 1};
+    followLeader(node, claim, world.now());
+    CHECK_EQUAL(40, node.leadership.leader.token);
+    CHECK_FALSE(node.leadership.claimMissing);
+    CHECK_EQUAL(40, presenceOf(node).leader.token);
+}
+
+// Guards against a restarted daemon that does not replace the claim of its former process on the same VM.
+TEST(DispatchClaimFreshness, AClaimOfAFormerProcessAtThisEndpointIsReplaced)
+{
+    World world(1, 0);
+    Node &node = *world.nodes[0].node;
+    const LeaderInfo claim{.token = 40, .node = "n0", .endpoint = node.options.endpoint, .identity = 1};
+    followLeader(node, claim, world.now());
+    CHECK_EQUAL(0, node.leadership.leader.token);
+    CHECK(node.leadership.claimMissing);
+}
--- a/tests/platform/cluster_codec_test.cpp
+++ b/tests/platform/cluster_codec_test.cpp
@@ -30,9 +30,11 @@
     const auto presence = roundTrip(
         Presence{.node = "a", .leader = {.token = 5, .node = "b", .endpoint = {.ip = "1.2.3.4", .port = 6}}});
     CHECK(presence.has_value() && std::get<Presence>(*presence).leader.endpoint.port == 6);
-    const auto numbered = roundTrip(Presence{.node = "a", .number = 1ULL << 62, .echo = 8});
+    const auto numbered
+        = roundTrip(Presence{.node = "a", .leader = {.token = 5, .identity = 9}, .number = 1ULL << 62, .echo = 8});
     CHECK(numbered.has_value() && std::get<Presence>(*numbered).number == 1ULL << 62);
     CHECK(std::get<Presence>(*numbered).echo == 8);
+    CHECK(std::get<Presence>(*numbered).leader.identity == 9);
     const auto advice = roundTrip(
         AdviceResult{.reply = {.call = 2, .status = CallStatus::Ok, .allowed = {{.worker = "w", .ticket = "t"}}}});
     CHECK(advice.has_value() && std::get<AdviceResult>(*advice).reply.allowed.at(0).ticket == "t");
