dispatch: keep-alives don't confirm a claim that was not written again

Callers would see: a leader whose claim has ended, and whose attempt to write it again the store refuses or doesn't answer, no longer extends leases without limit beside a successor that it can't hear; and it tries to write the claim again.

Cause: after a new lease was opened, its keep-alives were answered Ok and set claimConfirmedAt, even if the claim had not been written under it. As the lease was found each time, the claim was never written again.

Evidence, without the new rule: AKeepAliveDoesNotConfirmAClaimThatWasNotWrittenAgain failed ("runs twice": the former leader kept the runs alive that its successor started elsewhere), and AClaimThatTheStoreRefusedIsWrittenLater (no claim in the store 0.6 s after it took writes again).

Why it works: claimUnwritten is set with the new lease and cleared once the claim is known to be written. Until then an answered keep-alive leads to another write instead of a confirmation. If an earlier write took effect, its identity in the conflict shows it.

--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -400,6 +400,11 @@
     logLine(LogLevel::Info, logPart, "Records of ended jobs loaded. jobs={}", node.dispatcher->jobs.ended.size());
 }
 
+void writeClaimAgain(Node &node, std::uint64_t claimRevision)
+{
+    node.outbox.add(claimTransaction(node, StorePurpose::ReclaimWrite, claimRevision, node.leadership.term));
+}
+
 void handleKeepAliveReply(Node &node, const StoreReply &reply, Now now)
 {
     Leadership &leadership = node.leadership;
@@ -417,8 +422,13 @@
         const bool retrying = std::ranges::any_of(
             node.dispatcher->commits.streams, [](const CommitStream &stream) { return !stream.inFlight.empty(); });
         health.failing = health.failing && retrying;
-        node.dispatcher->claimConfirmedAt = leadership.keepAliveSentAt;
         leadership.nextKeepAlive = now.monotonic + keepAliveInterval;
+        if (!leadership.claimUnwritten) {
+            node.dispatcher->claimConfirmedAt = leadership.keepAliveSentAt;
+        } else if (!leadership.reclaiming) {
+            leadership.reclaiming = true;
+            writeClaimAgain(node, 0);
+        }
         return;
     }
     if (reply.status != CallStatus::NotFound) {
@@ -436,11 +446,6 @@
     }
 }
 
-void writeClaimAgain(Node &node, std::uint64_t claimRevision)
-{
-    node.outbox.add(claimTransaction(node, StorePurpose::ReclaimWrite, claimRevision, node.leadership.term));
-}
-
 void handleReclaimLeaseReply(Node &node, const StoreReply &reply, Now now)
 {
     Leadership &leadership = node.leadership;
@@ -450,6 +455,7 @@
         return;
     }
     leadership.lease = reply.lease;
+    leadership.claimUnwritten = true;
     writeClaimAgain(node, 0);
 }
 
@@ -461,6 +467,7 @@
     }
     node.leadership.leader.token = token;
     node.leadership.term = token;
+    node.leadership.claimUnwritten = false;
     node.dispatcher->token = token;
     node.dispatcher->newTokenDue = false;
     node.nextPresence = now.monotonic;
@@ -634,6 +641,7 @@
         entry.sent = false;
     }
     leadership.reclaiming = false;
+    leadership.claimUnwritten = false;
     leadership.keepAliveOpen = false;
     abandonClaim(node, now.monotonic);
     if (kind == StepDownKind::Resigned) {
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -99,6 +99,8 @@
     MonotonicTime keepAliveSentAt{};
     bool keepAliveOpen = false;
     bool reclaiming = false;
+    /// The claim is not known to be written under the current lease, so that keep-alives of the lease don't confirm it.
+    bool claimUnwritten = false;
     MonotonicTime nextTokenTry{};
     std::vector<StoreItem> control;
     std::string loadAfter;
--- a/tests/dispatch/claim_freshness_test.cpp
+++ b/tests/dispatch/claim_freshness_test.cpp
@@ -243,3 +243,44 @@
     CHECK_EQUAL(0, node.leadership.leader.token);
     CHECK(node.leadership.claimMissing);
 }
+
+// Guards against two runs of one task: a leader whose claim has ended opens a new lease, but the store refuses to write
+// the claim under it. The keep-alives of this lease succeed and seem to confirm the claim.
+TEST(DispatchClaimFreshness, AKeepAliveDoesNotConfirmAClaimThatWasNotWrittenAgain)
+{
+    World world(2, 4);
+    world.run(settleTime);
+    const std::size_t former = world.leaderIndex();
+    const std::size_t successor = former == 0 ? 1 : 0;
+    world.submit(former, 0xe3, {.payload = "p", .steps = {stepOf(2, 1000, milliseconds(15000))}}, "batch");
+    world.run(milliseconds(500));
+    for (WorldWorker &worker : world.workers) {
+        if (!worker.runs.empty()) {
+            worker.unreachableFrom.insert(successor);
+        }
+    }
+    world.store.refusedWriters.insert(former);
+    world.nodes[former].dropsPeerMessages = true;
+    world.nodes[successor].dropsPeerMessages = true;
+    world.store.leases.at(world.nodes[former].node->leadership.lease).first = world.time;
+    world.run(milliseconds(9000));
+    CHECK_EQUAL(successor, world.leaderIndex());
+    for (const std::string &violation : world.violations) {
+        FAIL(violation.c_str());
+    }
+}
+
+// Guards against a leader that never writes its claim again after the store has refused it once.
+TEST(DispatchClaimFreshness, AClaimThatTheStoreRefusedIsWrittenLater)
+{
+    World world(1, 2);
+    world.run(settleTime);
+    world.store.refusedWriters.insert(0);
+    world.store.leases.at(world.nodes[0].node->leadership.lease).first = world.time;
+    world.run(milliseconds(600));
+    CHECK_FALSE(world.store.items.contains("wk/ctl/leader"));
+    world.store.refusedWriters.clear();
+    world.run(milliseconds(600));
+    CHECK(world.store.items.contains("wk/ctl/leader"));
+    CHECK(isLeading(*world.nodes[0].node));
+}
--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -474,7 +474,7 @@
         after(storeDelay, [this, node, transaction = *transaction] {
             ++store.calls;
             StoreReply result{.call = transaction.call, .status = CallStatus::Refused, .items = {}};
-            if (store.unresponsive || !isRefused(node)) {
+            if (store.unresponsive || (!isRefused(node) && !store.refusedWriters.contains(node))) {
                 if (!store.unresponsive) {
                     result = transact(transaction);
                 }
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -72,6 +72,8 @@
     bool unresponsive = false;
     /// Daemons whose calls the store refuses.
     std::set<std::size_t> refusedNodes;
+    /// Daemons whose transactions alone the store refuses, as it does above its rate of writes.
+    std::set<std::size_t> refusedWriters;
     /// Percentage of transactions that are carried out but not answered.
     std::uint64_t lostReplyPercent = 0;
     std::size_t calls = 0;
