dispatch: a claim is replaced only after its lease has ended

Callers would see: a leader that the store refuses writes, and that was replaced, no longer extends leases beside its successor while it can't hear it.

Cause: a claim whose leader reports failing writes, or whose port refused a connection, was overwritten while its lease lasted. The former leader's keep-alives of that lease were still answered Ok and confirmed a claim that no longer existed.

Why it works: the claimant ends the lease that the store shows for the claim, waits for the confirmation and reads the control keys again before it claims. From then on keep-alives of the former leader are answered 404. It may write its claim again; then the claimant's write fails. The step takes two calls to the store when a claim is replaced, and none when it is absent.

--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -137,6 +137,7 @@
     node.leadership.loadedJobs.clear();
     node.leadership.loadedProgress.clear();
     node.leadership.claimAt = MonotonicTime::max();
+    node.leadership.formerLease = 0;
     node.leadership.claimFailedAt = now;
     node.leadership.noClaimUntil = now + claimRetry;
     node.leadership.nextPoll = now + claimRetry;
@@ -172,6 +173,32 @@
     node.outbox.add(StoreOpenLease{.call = newStoreCall(node, purpose), .timeToLive = claimLease});
 }
 
+/// Ends the lease of a claim before it is replaced. While that lease lasts, its owner's keep-alives succeed even though
+/// another claim has been written, and the owner would take its own for confirmed.
+void endFormerLease(Node &node, std::uint64_t lease, MonotonicTime now)
+{
+    if (node.leadership.formerLease == lease) {
+        // It was ended already and its keys are still present.
+        abandonClaim(node, now);
+        return;
+    }
+    node.leadership.formerLease = lease;
+    setPhase(node, ClaimPhase::EndingFormerLease, now);
+    node.outbox.add(StoreEndLease{.call = newStoreCall(node, StorePurpose::ClaimEndFormerLease), .lease = lease});
+}
+
+void handleFormerLeaseReply(Node &node, const StoreReply &reply, Now now)
+{
+    if (node.leadership.phase != ClaimPhase::EndingFormerLease) {
+        return;
+    }
+    if (reply.status != CallStatus::Ok && reply.status != CallStatus::NotFound) {
+        abandonClaim(node, now.monotonic);
+        return;
+    }
+    beginClaim(node, now.monotonic);
+}
+
 /// The control keys were read before a claim. This read is never stale.
 void handleClaimControlReply(Node &node, const StoreReply &reply, Now now)
 {
@@ -194,6 +221,10 @@
             return;
         }
     }
+    if (const StoreItem *claim = findItem(reply.items, claimKey); claim != nullptr && claim->lease != 0) {
+        endFormerLease(node, claim->lease, now.monotonic);
+        return;
+    }
     leadership.control = reply.items;
     setPhase(node, ClaimPhase::OpeningLease, now.monotonic);
     requestLease(node, StorePurpose::ClaimLease, now.monotonic);
@@ -693,6 +724,9 @@
     case StorePurpose::ClaimControl:
         handleClaimControlReply(node, reply, now);
         return true;
+    case StorePurpose::ClaimEndFormerLease:
+        handleFormerLeaseReply(node, reply, now);
+        return true;
     case StorePurpose::ClaimLease:
         handleClaimLeaseReply(node, reply, now);
         return true;
--- a/core/dispatch/messages.h
+++ b/core/dispatch/messages.h
@@ -47,6 +47,8 @@
     std::string value;
     /// Revision of the last change; 0 if the key does not exist.
     std::uint64_t revision = 0;
+    /// The key is removed when this lease ends; 0 without a lease.
+    std::uint64_t lease = 0;
 };
 
 /// Reads one page of the keys with a prefix.
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -33,6 +33,7 @@
 enum class ClaimPhase : std::uint8_t {
     Following,
     ReadingControl,
+    EndingFormerLease,
     OpeningLease,
     WritingClaim,
     LoadingJobs,
@@ -45,6 +46,7 @@
 enum class StorePurpose : std::uint8_t {
     ControlPoll,
     ClaimControl,
+    ClaimEndFormerLease,
     ClaimLease,
     ClaimWrite,
     LoadJobs,
@@ -89,6 +91,8 @@
     MonotonicTime claimFailedAt{};
     /// Earliest time at which this daemon hands leadership over to one on a larger VM.
     MonotonicTime nextHandover{};
+    /// The lease of the claim that this daemon replaces, once it has requested its end.
+    std::uint64_t formerLease = 0;
     // This daemon's own claim:
     std::uint64_t lease = 0;
     /// Revision of the term key after this daemon last wrote its claim.
--- a/tests/dispatch/claim_freshness_test.cpp
+++ b/tests/dispatch/claim_freshness_test.cpp
@@ -244,6 +244,37 @@
     CHECK(node.leadership.claimMissing);
 }
 
+// Guards against two runs of one task: a leader whose claim was replaced while its lease lasted has its keep-alives
+// answered, takes its claim for confirmed and extends leases of workers that its successor can't reach.
+TEST(DispatchClaimFreshness, AKeepAliveDoesNotConfirmAClaimThatWasReplaced)
+{
+    World world(2, 4);
+    world.run(settleTime);
+    const std::size_t former = world.leaderIndex();
+    const std::size_t successor = former == 0 ? 1 : 0;
+    world.submit(former, 0xe1, {.payload = "p", .steps = {stepOf(2, 1000, milliseconds(15000))}}, "batch");
+    world.run(milliseconds(500));
+    for (WorldWorker &worker : world.workers) {
+        if (!worker.runs.empty()) {
+            worker.unreachableFrom.insert(successor);
+        }
+    }
+    world.store.refusedWriters.insert(former);
+    world.submit(former, 0xe2, {.payload = "p", .steps = {stepOf(1, 1000, milliseconds(300))}}, "batch");
+    const Leadership &leadership = world.nodes[successor].node->leadership;
+    for (int i = 0; i < 4000 && leadership.phase == ClaimPhase::Following; ++i) {
+        world.run(milliseconds(1));
+    }
+    CHECK(leadership.phase != ClaimPhase::Following);
+    world.nodes[former].dropsPeerMessages = true;
+    world.nodes[successor].dropsPeerMessages = true;
+    world.run(milliseconds(9000));
+    CHECK_EQUAL(successor, world.leaderIndex());
+    for (const std::string &violation : world.violations) {
+        FAIL(violation.c_str());
+    }
+}
+
 // Guards against two runs of one task: a leader whose claim has ended opens a new lease, but the store refuses to write
 // the claim under it. The keep-alives of this lease succeed and seem to confirm the claim.
 TEST(DispatchClaimFreshness, AKeepAliveDoesNotConfirmAClaimThatWasNotWrittenAgain)
--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -290,7 +290,7 @@
             result.morePages = true;
             break;
         }
-        result.items.push_back({.key = key, .value = item.value, .revision = item.revision});
+        result.items.push_back({.key = key, .value = item.value, .revision = item.revision, .lease = item.lease});
     }
     return result;
 }
@@ -520,7 +520,18 @@
         };
         storeReply(make, keep->timeout);
     } else if (const auto *end = std::get_if<StoreEndLease>(&action)) {
-        store.leases[end->lease].first = time;
+        const auto make = [this, end = *end](CallStatus status) {
+            const auto found = store.leases.find(end.lease);
+            StoreReply result{.call = end.call, .status = status, .items = {}};
+            if (status == CallStatus::Ok && found == store.leases.end()) {
+                result.status = CallStatus::NotFound;
+            } else if (status == CallStatus::Ok) {
+                found->second.first = time;
+                expireLeases();
+            }
+            return [result](Node &owner, Now at) { handleStoreReply(owner, result, at); };
+        };
+        storeReply(make, callTimeout);
     } else if (const auto *read = std::get_if<ReadConfiguration>(&action)) {
         ++store.configurationReads;
         after(store.slowLinks.contains(node) ? slowTransfer : milliseconds(0), [this, node, id = read->call] {
