--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -19,7 +19,8 @@
 constexpr std::string_view controlPrefix = "wk/ctl/";
 constexpr std::string_view claimKey = "wk/ctl/leader";
 /// Written with every claim, but without a lease. Its revision shows whether another daemon has led since, even if that
-/// daemon's claim no longer exists.
+/// daemon's claim no longer exists. The value also holds the identity of the process that claimed. It is not in the
+/// claim because daemons of the previous version reject a claim with a fourth field and would not follow.
 constexpr std::string_view termKey = "wk/ctl/term";
 /// Keep-alives are sent four times within the duration of the lease, so that single lost replies don't end it.
 constexpr milliseconds keepAliveInterval{250};
@@ -54,6 +55,20 @@
     return fmt::format("{} {} {}", node.options.name, node.options.endpoint.ip, node.options.endpoint.port);
 }
 
+std::string encodeTerm(const Node &node)
+{
+    return fmt::format("{} {}", node.options.name, node.identity);
+}
+
+/// The identity in a term; 0 if its writer's version did not write one.
+std::uint64_t identityInTerm(const StoreItem &term)
+{
+    const auto space = term.value.find(' ');
+    return space == std::string::npos
+        ? 0
+        : parseInteger<std::uint64_t>(std::string_view(term.value).substr(space + 1)).value_or(0);
+}
+
 LeaderInfo decodeClaim(const StoreItem &item)
 {
     LeaderInfo leader{.token = item.revision, .node = {}, .endpoint = {}};
@@ -78,6 +93,22 @@
     return found == items.end() || found->revision == 0 ? nullptr : &*found;
 }
 
+/// The claim among the control keys, with its writer's identity. The term belongs to it if the same transaction wrote
+/// both.
+LeaderInfo findClaim(std::span<const StoreItem> items)
+{
+    const StoreItem *claim = findItem(items, claimKey);
+    if (claim == nullptr) {
+        return {};
+    }
+    LeaderInfo leader = decodeClaim(*claim);
+    const StoreItem *term = findItem(items, termKey);
+    if (term != nullptr && term->revision == claim->revision) {
+        leader.identity = identityInTerm(*term);
+    }
+    return leader;
+}
+
 void readControl(Node &node, StorePurpose purpose, bool allowStale)
 {
     node.outbox.add(StoreRange{.call = newStoreCall(node, purpose),
@@ -106,6 +137,7 @@
     node.leadership.loadedJobs.clear();
     node.leadership.loadedProgress.clear();
     node.leadership.claimAt = MonotonicTime::max();
+    node.leadership.formerLease = 0;
     node.leadership.claimFailedAt = now;
     node.leadership.noClaimUntil = now + claimRetry;
     node.leadership.nextPoll = now + claimRetry;
@@ -132,7 +164,39 @@
         return;
     }
     leadership.claimMissing = false;
-    followLeader(node, decodeClaim(*claim), now);
+    followLeader(node, findClaim(reply.items), now);
+}
+
+void requestLease(Node &node, StorePurpose purpose, MonotonicTime now)
+{
+    node.leadership.leaseRequestedAt = now;
+    node.outbox.add(StoreOpenLease{.call = newStoreCall(node, purpose), .timeToLive = claimLease});
+}
+
+/// Ends the lease of a claim before it is replaced. While that lease lasts, its owner's keep-alives succeed even though
+/// another claim has been written, and the owner would take its own for confirmed.
+void endFormerLease(Node &node, std::uint64_t lease, MonotonicTime now)
+{
+    if (node.leadership.formerLease == lease) {
+        // It was ended already and its keys are still present.
+        abandonClaim(node, now);
+        return;
+    }
+    node.leadership.formerLease = lease;
+    setPhase(node, ClaimPhase::EndingFormerLease, now);
+    node.outbox.add(StoreEndLease{.call = newStoreCall(node, StorePurpose::ClaimEndFormerLease), .lease = lease});
+}
+
+void handleFormerLeaseReply(Node &node, const StoreReply &reply, Now now)
+{
+    if (node.leadership.phase != ClaimPhase::EndingFormerLease) {
+        return;
+    }
+    if (reply.status != CallStatus::Ok && reply.status != CallStatus::NotFound) {
+        abandonClaim(node, now.monotonic);
+        return;
+    }
+    beginClaim(node, now.monotonic);
 }
 
 /// The control keys were read before a claim. This read is never stale.
@@ -146,22 +210,24 @@
         abandonClaim(node, now.monotonic);
         return;
     }
-    const StoreItem *claim = findItem(reply.items, claimKey);
-    if (claim != nullptr) {
-        const LeaderInfo present = decodeClaim(*claim);
+    if (findItem(reply.items, claimKey) != nullptr) {
+        const LeaderInfo present = findClaim(reply.items);
         const bool isGone = (leadership.leaderConnectionRefused || leadership.leaderStoreFailing)
             && present.token == leadership.leader.token;
-        const bool isOwn = present.node == node.options.name;
-        if (!isGone && !isOwn) {
+        if (!isGone && !isFromThisEndpoint(node, present)) {
             abandonClaim(node, now.monotonic);
             leadership.claimMissing = false;
             followLeader(node, present, now);
             return;
         }
     }
+    if (const StoreItem *claim = findItem(reply.items, claimKey); claim != nullptr && claim->lease != 0) {
+        endFormerLease(node, claim->lease, now.monotonic);
+        return;
+    }
     leadership.control = reply.items;
     setPhase(node, ClaimPhase::OpeningLease, now.monotonic);
-    node.outbox.add(StoreOpenLease{.call = newStoreCall(node, StorePurpose::ClaimLease), .timeToLive = claimLease});
+    requestLease(node, StorePurpose::ClaimLease, now.monotonic);
 }
 
 std::uint64_t revisionOf(const Leadership &leadership, std::string_view key)
@@ -179,7 +245,7 @@
         .conditions = {{.key = std::string(claimKey), .revision = claimRevision},
             {.key = std::string(termKey), .revision = termRevision}},
         .writes = {{.key = std::string(claimKey), .value = encodeClaim(node), .lease = node.leadership.lease},
-            {.key = std::string(termKey), .value = node.options.name}},
+            {.key = std::string(termKey), .value = encodeTerm(node)}},
         .deletes = {},
         .timeout = claimTimeout};
 }
@@ -195,7 +261,6 @@
         return;
     }
     leadership.lease = reply.lease;
-    leadership.keepAliveConfirmedAt = now.monotonic;
     StoreTransaction claim = claimTransaction(
         node, StorePurpose::ClaimWrite, revisionOf(leadership, claimKey), revisionOf(leadership, termKey));
     for (std::size_t stream = 0; stream < commitStreamCount; ++stream) {
@@ -221,13 +286,16 @@
     dispatcher.token = token;
     dispatcher.outbox = &node.outbox;
     dispatcher.commits.token = token;
-    dispatcher.claimConfirmedAt = now;
+    // The claim lasts as long as its lease, which the store counts from the arrival of the request. The reply to the
+    // claim proves nothing about the present: it may have waited until the lease had ended.
+    dispatcher.claimConfirmedAt = node.leadership.leaseRequestedAt;
     for (std::size_t stream = 0; stream < commitStreamCount; ++stream) {
         dispatcher.commits.streams.at(stream).key = chainKey(stream);
         dispatcher.commits.streams.at(stream).revision = token;
     }
     setConfiguration(dispatcher, node.configuration);
     const auto lease = std::chrono::duration<double, std::milli>(node.options.bounds.workerLease) * maxWorkerClockRatio;
+    // Counted from the reply, which is certain to follow the execution of the claim.
     dispatcher.runDiscoveryDeadline = now + std::chrono::ceil<milliseconds>(lease) + inheritanceMargin;
 }
 
@@ -258,9 +326,13 @@
         abandonClaim(node, now.monotonic);
         return;
     }
-    logLine(LogLevel::Info, logPart, "Claim written. token={} former={} former_token={}", reply.revision,
-        leadership.leader.node, leadership.leader.token);
-    leadership.leader = {.token = reply.revision, .node = node.options.name, .endpoint = node.options.endpoint};
+    logLine(LogLevel::Info, logPart, "Claim written. token={} identity={} former={} former_token={} lease_age_ms={}",
+        reply.revision, node.identity, leadership.leader.node, leadership.leader.token,
+        std::chrono::floor<milliseconds>(now.monotonic - leadership.leaseRequestedAt).count());
+    leadership.leader = {.token = reply.revision,
+        .node = node.options.name,
+        .endpoint = node.options.endpoint,
+        .identity = node.identity};
     leadership.term = reply.revision;
     leadership.leaderConnected = false;
     leadership.leaderConnectionRefused = false;
@@ -359,6 +431,11 @@
     logLine(LogLevel::Info, logPart, "Records of ended jobs loaded. jobs={}", node.dispatcher->jobs.ended.size());
 }
 
+void writeClaimAgain(Node &node, std::uint64_t claimRevision)
+{
+    node.outbox.add(claimTransaction(node, StorePurpose::ReclaimWrite, claimRevision, node.leadership.term));
+}
+
 void handleKeepAliveReply(Node &node, const StoreReply &reply, Now now)
 {
     Leadership &leadership = node.leadership;
@@ -376,9 +453,13 @@
         const bool retrying = std::ranges::any_of(
             node.dispatcher->commits.streams, [](const CommitStream &stream) { return !stream.inFlight.empty(); });
         health.failing = health.failing && retrying;
-        leadership.keepAliveConfirmedAt = now.monotonic;
-        node.dispatcher->claimConfirmedAt = leadership.keepAliveSentAt;
         leadership.nextKeepAlive = now.monotonic + keepAliveInterval;
+        if (!leadership.claimUnwritten) {
+            node.dispatcher->claimConfirmedAt = leadership.keepAliveSentAt;
+        } else if (!leadership.reclaiming) {
+            leadership.reclaiming = true;
+            writeClaimAgain(node, 0);
+        }
         return;
     }
     if (reply.status != CallStatus::NotFound) {
@@ -392,16 +473,10 @@
             "The lease of the leadership claim has expired; the claim is written again. token={}",
             leadership.leader.token);
         leadership.reclaiming = true;
-        node.outbox.add(
-            StoreOpenLease{.call = newStoreCall(node, StorePurpose::ReclaimLease), .timeToLive = claimLease});
+        requestLease(node, StorePurpose::ReclaimLease, now.monotonic);
     }
 }
 
-void writeClaimAgain(Node &node, std::uint64_t claimRevision)
-{
-    node.outbox.add(claimTransaction(node, StorePurpose::ReclaimWrite, claimRevision, node.leadership.term));
-}
-
 void handleReclaimLeaseReply(Node &node, const StoreReply &reply, Now now)
 {
     Leadership &leadership = node.leadership;
@@ -411,6 +486,7 @@
         return;
     }
     leadership.lease = reply.lease;
+    leadership.claimUnwritten = true;
     writeClaimAgain(node, 0);
 }
 
@@ -422,6 +498,7 @@
     }
     node.leadership.leader.token = token;
     node.leadership.term = token;
+    node.leadership.claimUnwritten = false;
     node.dispatcher->token = token;
     node.dispatcher->newTokenDue = false;
     node.nextPresence = now.monotonic;
@@ -448,20 +525,21 @@
     const StoreItem *claim = findItem(reply.items, claimKey);
     const StoreItem *term = findItem(reply.items, termKey);
     const std::uint64_t termRevision = term == nullptr ? 0 : term->revision;
-    const LeaderInfo present = claim == nullptr ? LeaderInfo{} : decodeClaim(*claim);
-    if (present.node == node.options.name && present.token == termRevision) {
+    const LeaderInfo present = findClaim(reply.items);
+    if (present.identity == node.identity && present.token == termRevision) {
         // The previous write took effect, but its reply was lost.
         adoptNewToken(node, present.token, now);
         return;
     }
-    if (claim == nullptr && term != nullptr && term->value == node.options.name) {
+    if (claim == nullptr && term != nullptr && identityInTerm(*term) == node.identity) {
         // This daemon's previous write took effect, but its reply was lost and its lease has expired since.
         leadership.term = termRevision;
     }
     if (termRevision != leadership.term) {
         logLine(LogLevel::Warning, logPart,
-            "Another daemon has led since the claim was written. term={} present_term={}", leadership.term,
-            termRevision);
+            "Another daemon has led since the claim was written. term={} present_term={} present_leader={} "
+            "present_identity={} identity={}",
+            leadership.term, termRevision, present.node, present.identity, node.identity);
         followLeader(node, present, now);
         if (node.dispatcher) {
             stepDown(node, StepDownKind::Replaced, "another daemon has led since the claim was written", now);
@@ -485,6 +563,13 @@
     writeClaimAgain(node, leadership.leader.token);
 }
 
+/// Without both identities only the names can be compared.
+bool isSameProcess(const LeaderInfo &claim, const LeaderInfo &other)
+{
+    const bool known = claim.identity != 0 && other.identity != 0;
+    return claim.node == other.node && (!known || claim.identity == other.identity);
+}
+
 void tickLeader(Node &node, Now now)
 {
     Leadership &leadership = node.leadership;
@@ -534,26 +619,31 @@
     node.outbox.add(DialNode{.endpoint = wanted});
 }
 
+bool isFromThisEndpoint(const Node &node, const LeaderInfo &claim)
+{
+    return claim.node == node.options.name && claim.endpoint == node.options.endpoint;
+}
+
 void followLeader(Node &node, const LeaderInfo &leader, Now now)
 {
     Leadership &leadership = node.leadership;
     if (leader.token <= leadership.leader.token) {
         return;
     }
-    if (leader.node == node.options.name && leadership.phase == ClaimPhase::Following) {
+    if (isFromThisEndpoint(node, leader) && leadership.phase == ClaimPhase::Following) {
         // The claim was written by this daemon's former process, so it can be replaced.
         leadership.claimMissing = true;
         leadership.claimMissingSince = now.monotonic;
         return;
     }
-    logLine(LogLevel::Info, logPart, "Following a new leader. leader={} token={} before={}", leader.node, leader.token,
-        leadership.leader.token);
+    logLine(LogLevel::Info, logPart, "Following a new leader. leader={} identity={} token={} before={}", leader.node,
+        leader.identity, leader.token, leadership.leader.token);
     if (node.dispatcher || leadership.phase != ClaimPhase::Following) {
         stepDown(node, StepDownKind::Replaced, "another daemon has claimed leadership", now);
     }
     // A leader that wrote its claim again under a new token still has the calls that were forwarded to it. If a call
     // were forwarded twice, one copy could be rejected and the other one run.
-    const bool sameProcess = leader.node == leadership.leader.node && leadership.leaderConnected;
+    const bool sameProcess = leadership.leaderConnected && isSameProcess(leader, leadership.leader);
     leadership.leader = leader;
     // The connection may be open already, if the leader is a seed or has connected to this daemon itself.
     leadership.leaderConnected = std::ranges::find(node.connectedNodes, leader.node) != node.connectedNodes.end();
@@ -582,6 +672,7 @@
         entry.sent = false;
     }
     leadership.reclaiming = false;
+    leadership.claimUnwritten = false;
     leadership.keepAliveOpen = false;
     abandonClaim(node, now.monotonic);
     if (kind == StepDownKind::Resigned) {
@@ -601,7 +692,7 @@
     logLine(LogLevel::Info, logPart,
         "Jobs and workers loaded; this daemon leads. token={} jobs={} workers={} takeover_ms={}",
         leadership.leader.token, leadership.loadedJobs.size(), node.dispatcher->workers.workers.size(),
-        std::chrono::floor<milliseconds>(now.monotonic - leadership.keepAliveConfirmedAt).count());
+        std::chrono::floor<milliseconds>(now.monotonic - leadership.leaseRequestedAt).count());
     node.dispatcher->runDiscoveryFinished = leadership.loadedJobs.empty();
     leadership.loadedJobs.clear();
     leadership.loadedProgress.clear();
@@ -633,6 +724,9 @@
     case StorePurpose::ClaimControl:
         handleClaimControlReply(node, reply, now);
         return true;
+    case StorePurpose::ClaimEndFormerLease:
+        handleFormerLeaseReply(node, reply, now);
+        return true;
     case StorePurpose::ClaimLease:
         handleClaimLeaseReply(node, reply, now);
         return true;
--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -289,7 +289,7 @@
             result.morePages = true;
             break;
         }
-        result.items.push_back({.key = key, .value = item.value, .revision = item.revision});
+        result.items.push_back({.key = key, .value = item.value, .revision = item.revision, .lease = item.lease});
     }
     return result;
 }
@@ -473,7 +473,7 @@
         after(storeDelay, [this, node, transaction = *transaction] {
             ++store.calls;
             StoreReply result{.call = transaction.call, .status = CallStatus::Refused, .items = {}};
-            if (store.unresponsive || !isRefused(node)) {
+            if (store.unresponsive || (!isRefused(node) && !store.refusedWriters.contains(node))) {
                 if (!store.unresponsive) {
                     result = transact(transaction);
                 }
@@ -519,7 +519,18 @@
         };
         storeReply(make, keep->timeout);
     } else if (const auto *end = std::get_if<StoreEndLease>(&action)) {
-        store.leases[end->lease].first = time;
+        const auto make = [this, end = *end](CallStatus status) {
+            const auto found = store.leases.find(end.lease);
+            StoreReply result{.call = end.call, .status = status, .items = {}};
+            if (status == CallStatus::Ok && found == store.leases.end()) {
+                result.status = CallStatus::NotFound;
+            } else if (status == CallStatus::Ok) {
+                found->second.first = time;
+                expireLeases();
+            }
+            return [result](Node &owner, Now at) { handleStoreReply(owner, result, at); };
+        };
+        storeReply(make, callTimeout);
     } else if (const auto *read = std::get_if<ReadConfiguration>(&action)) {
         ++store.configurationReads;
         after(store.slowLinks.contains(node) ? slowTransfer : milliseconds(0), [this, node, id = read->call] {
