dispatch: advice requests don't wait without bound behind more urgent ones

Two causes of jobs without a run while workers are idle, both shown by new tests (tests/dispatch/advice_channels_test.cpp) that fail on the former code:

A channel always sent the request with the lowest rank and earliest due time. While the long calls of a queue kept the unreserved channels busy, less urgent requests were not sent, although the reserved channels were idle most of the time. A pass ended after 60 steps that started nothing, and steps that only waited for a reply of the adviser counted. With 80 of them, a job that needs no advice did not start within 3 s on idle workers.

A request that has waited 1 s is now overdue. A channel sends the oldest overdue request first, then owes as much time to the most urgent requests before it sends another one. Overdue requests up to 150 ms may use the reserved channels. A request is composed again right before it is sent: it is dropped if its step needs none any more, and names the workers and planned places of that moment. Steps that can't start before the reply don't count as blocked.

The simulated adviser records its calls, and simulated workers require tickets only for queues with advice. The log line of a reply has the time of the call alone and the number of waiting requests.

--- a/core/dispatch/advice_lines.h
+++ b/core/dispatch/advice_lines.h
@@ -4,6 +4,7 @@
 #include "core/dispatch/outbox.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/functional/function_ref.h>
 
 #include <optional>
 #include <span>
@@ -24,6 +25,8 @@
     MonotonicTime replyDeadline{};
     /// No request is sent before this time, after a failure.
     MonotonicTime pausedUntil{};
+    /// Time of calls that the channel spends on the most urgent requests before it takes an overdue one again.
+    std::chrono::microseconds timeOwedToUrgent{0};
 };
 
 /// A request for the adviser's decision on which of the workers may run tasks of the step.
@@ -38,15 +41,20 @@
     std::uint32_t tries = 0;
 };
 
+/// Brings a request up to date right before it is sent; false if its step no longer needs it.
+using PrepareAdvice = absl::FunctionRef<bool(AdviceRequest &)>;
+
 struct OpenAdviceRequest
 {
     AdviceRequest request;
     std::vector<std::int64_t> incarnations;
+    MonotonicTime sentAt{};
 };
 
 /// Sends advice requests through the channels, the most urgent first. A request for a gang takes about as long as an
 /// urgent job has until it is late. So that short urgent requests don't wait behind such requests, part of the channels
-/// is reserved for short ones.
+/// is reserved for short ones. So that no request waits forever behind more urgent ones, a channel spends up to half of
+/// its time on overdue requests, the oldest first.
 struct Advisor
 {
     std::vector<AdviceChannel> channels;
@@ -64,7 +72,8 @@
 void setAdviceChannels(Advisor &advisor, std::span<const std::string> nodes);
 
 /// Sends waiting requests through the free channels. Requests without a reply by the deadline are queued again.
-void sendWaitingRequests(Advisor &advisor, const WorkerTable &workers, Outbox &outbox, MonotonicTime now);
+void sendWaitingRequests(
+    Advisor &advisor, const WorkerTable &workers, Outbox &outbox, MonotonicTime now, PrepareAdvice prepare);
 
 /// Removes the open request that the reply belongs to and frees its channel; nothing if there is no such request.
 std::optional<OpenAdviceRequest> closeAdviceRequest(Advisor &advisor, const AdviceReply &reply, MonotonicTime now);
--- a/core/dispatch/placement.cpp
+++ b/core/dispatch/placement.cpp
@@ -77,22 +77,32 @@
     return rank;
 }
 
-void addReadySteps(Dispatcher &dispatcher, Job &job, MonotonicTime now, std::vector<ReadyStep> &ready)
+bool hasReadyTasks(const StepRun &step, MonotonicTime now)
+{
+    return step.open && step.waiting > 0 && step.notBefore <= now && !step.gangAborting;
+}
+
+ReadyStep readyStepOf(const Dispatcher &dispatcher, Job &job, const StepKey &key, StepRun &step, MonotonicTime now)
 {
     const QueueConfig &queue = queueOf(dispatcher, job);
+    return {.key = key,
+        .job = &job,
+        .spec = &job.record.spec.steps[key.step],
+        .step = &step,
+        .queue = &queue,
+        .rank = rankOf(job, queue, now),
+        .dueBy = job.dueBy};
+}
+
+void addReadySteps(Dispatcher &dispatcher, Job &job, MonotonicTime now, std::vector<ReadyStep> &ready)
+{
     for (Occurrence &occurrence : job.occurrences) {
         for (std::uint32_t number = 0; number < occurrence.steps.size(); ++number) {
             StepRun &step = occurrence.steps[number];
-            if (!step.open || step.waiting == 0 || step.notBefore > now || step.gangAborting) {
-                continue;
+            if (hasReadyTasks(step, now)) {
+                const StepKey key{.job = job.record.id, .occurrence = occurrence.number, .step = number};
+                ready.push_back(readyStepOf(dispatcher, job, key, step, now));
             }
-            ready.push_back({.key = {.job = job.record.id, .occurrence = occurrence.number, .step = number},
-                .job = &job,
-                .spec = &job.record.spec.steps[number],
-                .step = &step,
-                .queue = &queue,
-                .rank = rankOf(job, queue, now),
-                .dueBy = job.dueBy});
         }
     }
 }
@@ -153,7 +163,6 @@
     }
     const AdviceTimes &times = *ready.queue->advice;
     ready.step->adviceOpen = true;
-    ++dispatcher.counters.adviceRequests;
     const auto expectedTime = times.base + times.perWorker * static_cast<int>(workers.size());
     dispatcher.advisor.waiting.push_back({.step = ready.key,
         .workers = std::move(workers),
@@ -370,6 +379,8 @@
             dispatcher.workers.workers[slot].entry.id, formatStepKey(ready.key), ready.rank);
         stopRun(dispatcher, slot, key, now);
     }
+    // The tickets are renewed while the runs are being stopped.
+    renewPlannedTickets(dispatcher, ready, now);
     return true;
 }
 
@@ -663,6 +674,58 @@
     return fits(needed, room) ? std::optional(std::move(victims)) : std::nullopt;
 }
 
+namespace
+{
+
+/// Starts the step's tasks that can start, and requests the advice that it lacks.
+void placeStep(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
+{
+    if (needsTicket(ready) && ready.step->allowed.empty()) {
+        requestMoreAdvice(dispatcher, ready, now);
+    } else if (ready.spec->gang) {
+        placeWholeGang(dispatcher, ready, now);
+    } else {
+        placeSingles(dispatcher, ready, now);
+    }
+}
+
+/// Whether no task of the step can start before the reply to its open advice request. Such steps don't count as
+/// blocked: a line of them must not end the pass before the steps that could start.
+bool awaitsAdvice(const Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
+{
+    return needsTicket(ready) && ready.step->adviceOpen && ready.step->plan.empty()
+        && std::ranges::none_of(
+            ready.step->allowed, [&](const auto &entry) { return hasTicket(dispatcher, ready, entry.first, now); });
+}
+
+/// Replaces a request whose turn has come by what its step lacks now. While it waited, the places that it was meant for
+/// may have been taken; a call for them would be wasted, and the step would wait in the line again.
+bool prepareAdvice(Dispatcher &dispatcher, AdviceRequest &request, MonotonicTime now)
+{
+    Job *job = findJob(dispatcher.jobs, request.step.job);
+    StepRun *step = job == nullptr || isEnded(job->state) ? nullptr : findStep(*job, request.step);
+    if (step == nullptr) {
+        return false;
+    }
+    step->adviceOpen = false;
+    if (!hasReadyTasks(*step, now)) {
+        return false;
+    }
+    placeStep(dispatcher, readyStepOf(dispatcher, *job, request.step, *step, now), now);
+    if (!step->adviceOpen) {
+        return false;
+    }
+    AdviceRequest current = std::move(dispatcher.advisor.waiting.back());
+    dispatcher.advisor.waiting.pop_back();
+    current.queuedAt = request.queuedAt;
+    current.tries = request.tries;
+    request = std::move(current);
+    ++dispatcher.counters.adviceRequests;
+    return true;
+}
+
+} // namespace
+
 void handleAdviceReply(Dispatcher &dispatcher, const AdviceReply &reply, MonotonicTime now)
 {
     auto open = closeAdviceRequest(dispatcher.advisor, reply, now);
@@ -701,9 +764,11 @@
     }
     step->adviceRetryAt = reply.allowed.empty() ? now + adviceRetryDelay : now;
     recordAllowedShare(dispatcher.advisor, job->record.queue.name, newCount, newlyAllowed);
-    logLine(LogLevel::Info, logPart, "Advice received. step={} asked={} allowed={} waited_ms={}",
+    logLine(LogLevel::Info, logPart,
+        "Advice received. step={} asked={} allowed={} waited_ms={} call_ms={} requests_waiting={}",
         formatStepKey(open->request.step), open->request.workers.size(), reply.allowed.size(),
-        std::chrono::floor<milliseconds>(now - open->request.queuedAt).count());
+        std::chrono::floor<milliseconds>(now - open->request.queuedAt).count(),
+        std::chrono::floor<milliseconds>(now - open->sentAt).count(), dispatcher.advisor.waiting.size());
     observe(dispatcher, DurationKind::Advice, now - open->request.queuedAt);
     dispatcher.placementDue = true;
 }
@@ -722,14 +787,12 @@
             break;
         }
         const std::uint32_t waiting = ready.step->waiting;
-        if (needsTicket(ready) && ready.step->allowed.empty()) {
-            requestMoreAdvice(dispatcher, ready, now);
+        if (awaitsAdvice(dispatcher, ready, now)) {
             continue;
         }
-        if (ready.spec->gang) {
-            placeWholeGang(dispatcher, ready, now);
-        } else {
-            placeSingles(dispatcher, ready, now);
+        placeStep(dispatcher, ready, now);
+        if (needsTicket(ready) && ready.step->allowed.empty()) {
+            continue;
         }
         blocked += ready.step->waiting == waiting ? 1 : 0;
         if (blocked >= maxBlockedSteps) {
@@ -739,7 +802,8 @@
     // A step that finds no room examines every worker. The time between passes limits them to a fifth of a core.
     const auto spacing = timePerExaminedWorker * static_cast<int>(blocked * dispatcher.workers.workers.size());
     dispatcher.nextPlacement = now + std::max(minPassSpacing, std::chrono::ceil<milliseconds>(spacing));
-    sendWaitingRequests(dispatcher.advisor, dispatcher.workers, *dispatcher.outbox, now);
+    const auto prepare = [&dispatcher, now](AdviceRequest &request) { return prepareAdvice(dispatcher, request, now); };
+    sendWaitingRequests(dispatcher.advisor, dispatcher.workers, *dispatcher.outbox, now, prepare);
 }
 
 } // namespace wigeonkeel::dispatch
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -148,6 +148,7 @@
     /// ticket are refused.
     bool adviceTakesTime = false;
     std::map<std::string, milliseconds> ticketEnds;
+    std::vector<RequestAdvice> adviceCalls;
     std::map<CallId, ClientAnswer> answers;
     std::map<TaskKey, std::uint32_t> failedRuns;
     std::set<TaskKey> doneTasks;
@@ -176,6 +177,8 @@
     void deliver(std::size_t node, const Node *caller, std::function<void(Node &, Now)> handle);
     StoreReply transact(const StoreTransaction &transaction);
     StoreReply range(const StoreRange &range) const;
+    /// True if the job is unknown.
+    bool needsTicket(JobId id);
     OrderReply start(const StartRun &order);
     OrderReply stop(const StopRun &order);
     std::optional<RenewReply> renew(std::size_t worker, const RenewWorker &renewal);
