dispatch: runs are stopped for a plan without tickets only when its advice request is sent

A step that pre-empts other runs needs tickets that are valid when these have ended. The runs were stopped at once, and the request for the tickets entered the line afterwards. In a long line the plan expired first, its room was given up and the step pre-empted again at its next turn.

NoRunIsStoppedForAStepWhoseRequestWaits failed before with one pre-empted run.

--- a/core/dispatch/placement.cpp
+++ b/core/dispatch/placement.cpp
@@ -287,10 +287,10 @@
     return std::chrono::ceil<milliseconds>(expectedTime);
 }
 
-/// Renews the tickets of the planned workers; true if all of them are valid now. Tickets that would expire before the
-/// reply arrives are renewed too. Otherwise a gang's tickets could expire one after the other and never be valid
-/// together.
-bool renewPlannedTickets(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
+/// Renews the tickets of the planned workers; true if all of them are valid at the time of use. Tickets that would
+/// expire before the reply arrives are renewed too. Otherwise a gang's tickets could expire one after the other and
+/// never be valid together.
+bool renewPlannedTickets(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now, MonotonicTime usedAt)
 {
     std::vector<WorkerSlot> planned;
     for (const PlannedPlace &place : ready.step->plan) {
@@ -298,12 +298,13 @@
             planned.push_back(place.worker);
         }
     }
-    const auto isGood = [&](WorkerSlot slot) { return hasTicket(dispatcher, ready, slot, now); };
+    const auto isGood = [&](WorkerSlot slot) { return hasTicket(dispatcher, ready, slot, usedAt); };
     if (std::ranges::all_of(planned, isGood)) {
         return true;
     }
     const milliseconds wait = adviceTime(ready, planned.size()) + ticketRenewalMargin;
-    std::erase_if(planned, [&](WorkerSlot slot) { return hasTicket(dispatcher, ready, slot, now + wait); });
+    const MonotonicTime renewedBy = std::max(usedAt, now + wait);
+    std::erase_if(planned, [&](WorkerSlot slot) { return hasTicket(dispatcher, ready, slot, renewedBy); });
     if (!ready.step->adviceOpen) {
         ready.step->planUntil = std::max(ready.step->planUntil, now + wait + planSlack);
     }
@@ -353,7 +354,23 @@
     return room;
 }
 
+/// Workers of the plan whose tickets expire before the given time.
+std::vector<WorkerSlot> workersWithoutTicket(
+    const Dispatcher &dispatcher, const ReadyStep &ready, std::span<const PlannedPlace> plan, MonotonicTime usedAt)
+{
+    std::vector<WorkerSlot> without;
+    for (const PlannedPlace &place : plan) {
+        if (!hasTicket(dispatcher, ready, place.worker, usedAt)
+            && std::ranges::find(without, place.worker) == without.end()) {
+            without.push_back(place.worker);
+        }
+    }
+    return without;
+}
+
 /// Stops runs so that the planned tasks fit, and reserves the room. False without a change if the room can't be freed.
+/// If tickets have to be renewed, runs are stopped only once the request is sent: while it waited in a long line, the
+/// plan would expire and the work of the stopped runs would be lost for nothing.
 bool preemptForPlan(
     Dispatcher &dispatcher, const ReadyStep &ready, std::span<const PlannedPlace> plan, MonotonicTime now)
 {
@@ -371,6 +388,12 @@
             victims.emplace_back(slot, key);
         }
     }
+    const MonotonicTime usedAt = now + dispatcher.bounds.stopTime;
+    std::vector<WorkerSlot> withoutTicket = workersWithoutTicket(dispatcher, ready, plan, usedAt);
+    if (!withoutTicket.empty() && !ready.isAdviceNext) {
+        requestAdvice(dispatcher, ready, std::move(withoutTicket), now);
+        return true;
+    }
     const milliseconds wait = dispatcher.bounds.stopTime + planSlack + adviceTime(ready, needed.size());
     reserve(dispatcher, ready, plan, now + wait);
     for (const auto &[slot, key] : victims) {
@@ -379,8 +402,7 @@
             dispatcher.workers.workers[slot].entry.id, formatStepKey(ready.key), ready.rank);
         stopRun(dispatcher, slot, key, now);
     }
-    // The tickets are renewed while the runs are being stopped.
-    renewPlannedTickets(dispatcher, ready, now);
+    renewPlannedTickets(dispatcher, ready, now, usedAt);
     return true;
 }
 
@@ -393,7 +415,7 @@
         if (!isPlanValid(dispatcher, ready, now)) {
             dropPlan(dispatcher, *ready.spec, *ready.step);
         } else {
-            const bool tickets = renewPlannedTickets(dispatcher, ready, now);
+            const bool tickets = renewPlannedTickets(dispatcher, ready, now, now);
             const bool free = std::ranges::all_of(ready.step->plan,
                 [&](const PlannedPlace &planned) { return isPlannedRoomFree(dispatcher, ready, planned); });
             if (tickets && free) {
@@ -405,7 +427,7 @@
     auto plan = placeGang(dispatcher, ready, roomOfWorkers(dispatcher), now);
     if (plan) {
         reserve(dispatcher, ready, *plan, now + planSlack + adviceTime(ready, ready.step->tasks.size()) * 2);
-        if (renewPlannedTickets(dispatcher, ready, now)) {
+        if (renewPlannedTickets(dispatcher, ready, now, now)) {
             startPlan(dispatcher, ready, now);
         }
         return;
@@ -469,7 +491,7 @@
         dropPlan(dispatcher, *ready.spec, *ready.step);
         return;
     }
-    renewPlannedTickets(dispatcher, ready, now);
+    renewPlannedTickets(dispatcher, ready, now, now);
     std::vector<PlannedPlace> left;
     const std::vector<PlannedPlace> plan = ready.step->plan;
     for (const PlannedPlace &planned : plan) {
@@ -711,7 +733,9 @@
     if (!hasReadyTasks(*step, now)) {
         return false;
     }
-    placeStep(dispatcher, readyStepOf(dispatcher, *job, request.step, *step, now), now);
+    ReadyStep ready = readyStepOf(dispatcher, *job, request.step, *step, now);
+    ready.isAdviceNext = true;
+    placeStep(dispatcher, ready, now);
     if (!step->adviceOpen) {
         return false;
     }
--- a/core/dispatch/placement.h
+++ b/core/dispatch/placement.h
@@ -20,6 +20,8 @@
     /// Steps with a lower rank are placed first.
     int rank = 0;
     MonotonicTime dueBy{};
+    /// An advice request of the step is sent now, without a wait in the line.
+    bool isAdviceNext = false;
 };
 
 /// All steps with tasks that may start now, most urgent first.
--- a/tests/dispatch/advice_channels_test.cpp
+++ b/tests/dispatch/advice_channels_test.cpp
@@ -252,6 +252,38 @@
     CHECK(std::ranges::find(world.adviceCalls.back().workers, "w0") == world.adviceCalls.back().workers.end());
 }
 
+// Guards against work that is lost for nothing: runs are stopped for a step whose tickets expired, and the reserved
+// room is given up again before the step's request is sent.
+TEST(AdviceOverload, NoRunIsStoppedForAStepWhoseRequestWaits)
+{
+    World world(1, 2);
+    world.configuration.queues.push_back(queueOf("slow", 1, 1.5, {.base = milliseconds(4000)}));
+    indexQueues(world.configuration);
+    world.adviceTakesTime = true;
+    world.run(settleTime);
+    JobSpec filler{.payload = "f", .steps = {stepOf(8, 1000, milliseconds(30000))}};
+    filler.steps[0].checkpointed = true;
+    world.submit(0, 1, filler, "batch");
+    CHECK(world.runUntil([&world] { return world.starts == 8; }, settleTime));
+    // The call for job 2 occupies the only channel.
+    const JobSpec urgent{.payload = "x", .steps = {stepOf(1, 1000, milliseconds(20000))}};
+    world.submit(0, 2, urgent, "slow");
+    world.run(milliseconds(100));
+    world.submit(0, 3, urgent, "slow");
+    world.run(milliseconds(100));
+    Dispatcher &dispatcher = *world.leader()->dispatcher;
+    StepRun &step = *findStep(*findJob(dispatcher.jobs, 3), {.job = 3});
+    dispatcher.advisor.waiting.clear();
+    step.adviceOpen = false;
+    for (WorkerSlot slot = 0; slot < world.workers.size(); ++slot) {
+        step.allowed[slot] = {.ticket = "expired", .validUntil = {}, .incarnation = 1};
+    }
+    world.run(milliseconds(2000));
+    CHECK_EQUAL(1, world.adviceCalls.size());
+    CHECK_EQUAL(0, dispatcher.counters.preempted);
+    CHECK(step.adviceOpen);
+}
+
 // Guards against a channel that stays idle, or a call that is wasted, because a request is no longer needed.
 TEST(AdviceOverload, ARequestThatIsNoLongerNeededIsNotSent)
 {
