--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -2,6 +2,7 @@
 
 #include "core/dispatch/node.h"
 #include "core/routing/random.h"
+#include "tests/dispatch/run_history.h"
 
 #include <functional>
 #include <map>
@@ -9,12 +10,16 @@
 #include <optional>
 #include <queue>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
 namespace wigeonkeel::dispatch
 {
 
+/// Time that a message takes from one process to another.
+inline constexpr milliseconds networkDelay{2};
+
 /// A run on a simulated worker.
 struct WorldRun
 {
@@ -25,6 +30,32 @@
     milliseconds work{0};
     milliseconds done{0};
     bool willFail = false;
+    bool gang = false;
+    /// All members of the gang's attempt were present at some time.
+    bool together = false;
+    milliseconds startedAt{0};
+};
+
+/// How closely the world follows the platform's contract. Off by default, so that each test adds only what it needs.
+struct WorldRules
+{
+    /// Members of a gang's attempt work only while all are present, end as done together, and end as broken or alone
+    /// otherwise.
+    bool gangs = false;
+    /// Workers' clocks begin with each incarnation, and leases are capped.
+    bool ownClocks = false;
+    /// Checks the platform's rules on repeated starts as written: an end counts only if it was acknowledged. Otherwise
+    /// no task may start after any end as done.
+    bool acknowledgedEndsCount = false;
+    /// Percentage of starts, stops and renewals that get no reply and are carried out 2 to 12 s later.
+    std::uint64_t lateOrderPercent = 0;
+    /// Late orders are also carried out by a later incarnation under the same id. Known to start tasks again
+    /// (docs/incidents/twice.md, "What remains").
+    bool lateOrdersReachNextIncarnation = false;
+    /// Percentage of store writes that get no reply and are carried out 1 to 6 s later if their conditions still hold.
+    std::uint64_t lateWritePercent = 0;
+    /// How long the directory lists a worker that has crashed.
+    milliseconds directoryDelay{0};
 };
 
 /// A simulated worker that follows the platform's contract: leases, fencing tokens, attempts, lists.
@@ -44,6 +75,14 @@
     bool stalled = false;
     /// Daemons whose links to the worker are cut.
     std::set<std::size_t> unreachableFrom;
+    /// Daemons whose connections to the worker are refused at once; the worker runs on.
+    std::set<std::size_t> refusesFrom;
+    /// While the worker is down, calls are refused at once instead of staying unanswered.
+    bool refusesWhileDown = false;
+    milliseconds downSince{0};
+    /// When the worker's clock began, and its rate.
+    milliseconds clockStart{0};
+    double clockRate = 1.0;
     std::uint64_t token = 0;
     std::vector<WorldRun> runs;
     std::vector<EndedTask> ends;
@@ -66,12 +105,16 @@
 {
     std::map<std::string, WorldItem> items;
     std::map<std::uint64_t, std::pair<milliseconds, milliseconds>> leases;
+    std::map<std::uint64_t, std::size_t> leaseOwners;
     std::uint64_t revision = 1;
     bool down = false;
     /// Calls get no answer.
     bool unresponsive = false;
     /// Daemons whose calls the store refuses.
     std::set<std::size_t> refusedNodes;
+    /// Daemons whose calls get no answer and are not carried out, and those whose calls are carried out unanswered.
+    std::set<std::size_t> silentNodes;
+    std::set<std::size_t> unansweredNodes;
     /// Percentage of transactions that are carried out but not answered.
     std::uint64_t lostReplyPercent = 0;
     std::size_t calls = 0;
@@ -85,8 +128,19 @@
 {
     std::unique_ptr<Node> node;
     bool up = true;
+    /// The daemon was removed for good.
+    bool removed = false;
     /// The process is paused; what arrives is delivered once it resumes.
     bool paused = false;
+    /// What arrived while the process was paused, in order.
+    std::vector<std::function<void()>> held;
+    /// The process is paused for this long as soon as the store has carried out its next write; 0 for never.
+    milliseconds pauseAfterWrite{0};
+    /// Added to the time that replies of the store and messages of other daemons take.
+    milliseconds storeLatency{0};
+    milliseconds peerLatency{0};
+    /// When the last message of each daemon arrives; messages on one connection stay in order.
+    std::map<std::string, milliseconds> peerArrivals;
     /// Messages of other daemons do not arrive.
     bool dropsPeerMessages = false;
     std::optional<Endpoint> dialled;
@@ -120,7 +174,18 @@
     void cutPower(std::size_t node);
     void restart(std::size_t node);
     void crashWorker(std::size_t worker);
+    /// The worker starts again under its id with the next incarnation.
     void restartWorker(std::size_t worker);
+    /// Adds a worker under a new id and returns its position.
+    std::size_t addWorker();
+    /// Adds a daemon and returns its position.
+    std::size_t addNode();
+    /// Stops the process for this long; the timers stand still and what arrives waits.
+    void pause(std::size_t node, milliseconds duration);
+    /// Removes the leases of a daemon from the store, with their keys.
+    void revokeLeases(std::size_t node);
+    /// Carries out `act` after the delay.
+    void after(milliseconds delay, std::function<void()> act);
 
     Node *leader();
     std::size_t leaderIndex() const;
@@ -129,6 +194,10 @@
     /// Empty if all guarantees held, such as: no task runs twice, none starts again after it was done, no worker is
     /// over its capacity.
     std::vector<std::string> violations;
+    WorldRules rules;
+    RunHistory history;
+    /// Specifications of the submitted jobs.
+    std::map<JobId, JobSpec> specs;
 
     milliseconds time{1000};
     RandomState random;
@@ -137,6 +206,8 @@
     std::vector<WorldWorker> workers;
     std::vector<WorldNode> nodes;
     ActualRunOf actualRun;
+    /// Time that a stop takes to end a run.
+    milliseconds stopTime{200};
     /// Added to the time that starts take to reach a worker.
     milliseconds startDelay{0};
     /// Renewals that are sent to `delayedWorker` get no answer and are carried out this much later; 0 for none.
@@ -165,10 +236,49 @@
         bool operator<(const Event &other) const { return std::pair(other.at, other.order) < std::pair(at, order); }
     };
 
-    void after(milliseconds delay, std::function<void()> act);
-    void carryOut(std::size_t node, const Action &action);
+    enum class Link : std::uint8_t { Open, Refused, Cut };
+    /// Carries out a store call and returns what hands over its reply; any other status than Ok is only handed over.
+    using StoreHandler = std::function<std::function<void(Node &, Now)>(CallStatus status)>;
+
+    void carryOut(std::size_t node, const StoreTransaction &transaction);
+    void carryOut(std::size_t node, const StoreRange &request);
+    void carryOut(std::size_t node, const StoreOpenLease &open);
+    void carryOut(std::size_t node, const StoreKeepAlive &keep);
+    void carryOut(std::size_t node, const StoreEndLease &end);
+    void carryOut(std::size_t node, const ReadConfiguration &read);
+    void carryOut(std::size_t node, const WatchConfiguration &watch);
+    void carryOut(std::size_t node, const ReadWorkers &directory);
+    void carryOut(std::size_t node, const StartRun &order);
+    void carryOut(std::size_t node, const StopRun &order);
+    void carryOut(std::size_t node, const RenewWorker &renewal);
+    void carryOut(std::size_t node, const RequestAdvice &request);
+    void carryOut(std::size_t node, const AnswerClient &answered);
+    void carryOut(std::size_t node, const SendToNode &message);
+    void carryOut(std::size_t node, const DialNode &dialled);
+    void carryOut(std::size_t, const LeaderAnswer &) {}
+    void carryOut(std::size_t, const ReadinessChanged &) {}
+    void carryOut(std::size_t, const ObserveDuration &) {}
+    void callStore(std::size_t node, milliseconds timeout, bool isWrite, const StoreHandler &make);
+    bool isReplyLost(std::size_t node, bool isWrite);
+    void holdWrite(std::size_t node, const StoreTransaction &transaction);
+    void replyToOrder(std::size_t node, milliseconds delay, OrderReply result);
+    void failRenewal(std::size_t node, milliseconds delay, CallId call, CallStatus status);
+    bool isOrderLate();
+    void carryOutLate(const WorkerTarget &target, std::function<void()> act);
+    Link linkTo(std::size_t node, const WorldWorker &worker) const;
     void flush(std::size_t node);
     void advanceWorkers(milliseconds step);
+    void advanceGangs(milliseconds step);
+    /// Ends the members of a gang's attempt: all of them, those whose gang is broken, or those that waited too long.
+    void endMembers(std::span<const std::pair<std::size_t, TaskKey>> members, bool ended, bool failed);
+    void lapse(std::size_t worker);
+    void beginClock(std::size_t worker);
+    void extendLease(WorldWorker &worker, WorkerTime until);
+    void checkStart(const WorldRun &run, const WorldWorker &target);
+    const StepSpec *specOf(const TaskKey &task);
+    void report(std::vector<std::string> broken);
+    WorkerTime clockOf(const WorldWorker &worker) const;
+    WorkerLife lifeOf(const WorldWorker &worker) const;
     void endRun(std::size_t worker, std::size_t run, RunEnd end);
     void answerRenewals(std::size_t worker);
     void expireLeases();
@@ -185,10 +295,12 @@
     void connectNodes(std::size_t from, const Endpoint &endpoint);
     void disconnect(std::size_t node);
     bool isRefused(std::size_t node) const;
+    bool isSilent(std::size_t node) const;
     std::size_t workerIndex(std::string_view id) const;
 
     std::priority_queue<Event> m_events;
     std::uint64_t m_order = 0;
+    std::map<CallId, JobId> m_callJobs;
     milliseconds m_nextTick{0};
 };
 
--- /dev/null
+++ b/tests/dispatch/dispatch_world_calls.cpp
@@ -0,0 +1,331 @@
+#include "tests/dispatch/dispatch_world.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace wigeonkeel::dispatch
+{
+
+namespace
+{
+
+constexpr milliseconds storeDelay{4};
+/// Timeout of calls that get no answer.
+constexpr milliseconds callTimeout{700};
+/// Part of an advice request's timeout that exceeds the adviser's expected time.
+constexpr milliseconds adviceSlack{500};
+/// Transfer time of a large configuration over the link of a small VM.
+constexpr milliseconds slowTransfer{900};
+/// When late orders and late writes are carried out.
+constexpr milliseconds earliestLateOrder{2000};
+constexpr std::uint64_t lateOrderSpreadMs = 10000;
+constexpr milliseconds earliestLateWrite{1000};
+constexpr std::uint64_t lateWriteSpreadMs = 5000;
+
+auto storeReplyHandler(StoreReply result)
+{
+    return [result = std::move(result)](Node &owner, Now at) { handleStoreReply(owner, result, at); };
+}
+
+milliseconds drawDelay(RandomState &random, milliseconds least, std::uint64_t spreadMs)
+{
+    return least + milliseconds(randomBelow(random, spreadMs));
+}
+
+} // namespace
+
+bool World::isReplyLost(std::size_t node, bool isWrite)
+{
+    return store.unansweredNodes.contains(node) || (isWrite && randomBelow(random, 100) < store.lostReplyPercent);
+}
+
+void World::callStore(std::size_t node, milliseconds timeout, bool isWrite, const StoreHandler &make)
+{
+    // Carried out even if the daemon stops meanwhile.
+    after(storeDelay, [this, node, timeout, isWrite, make, caller = nodes[node].node.get()] {
+        ++store.calls;
+        const bool silent = isSilent(node);
+        auto handle = silent ? make(CallStatus::Unknown) : make(isRefused(node) ? CallStatus::Refused : CallStatus::Ok);
+        milliseconds delay = nodes[node].storeLatency;
+        if (silent || (!isRefused(node) && isReplyLost(node, isWrite)) || delay > timeout) {
+            handle = make(CallStatus::Unknown);
+            delay = timeout;
+        }
+        after(delay, [this, node, handle, caller] {
+            if (nodes[node].up && nodes[node].node.get() == caller) {
+                reply(node, handle);
+            }
+        });
+    });
+}
+
+void World::carryOut(std::size_t node, const StoreTransaction &transaction)
+{
+    const bool reachesStore = !isSilent(node) && !isRefused(node);
+    if (reachesStore && rules.lateWritePercent > 0 && randomBelow(random, 100) < rules.lateWritePercent) {
+        after(drawDelay(random, earliestLateWrite, lateWriteSpreadMs), [this, transaction] {
+            if (!store.down) {
+                transact(transaction);
+            }
+        });
+        after(transaction.timeout, [this, node, caller = nodes[node].node.get(), id = transaction.call] {
+            deliver(node, caller, storeReplyHandler({.call = id, .status = CallStatus::Unknown, .items = {}}));
+        });
+        return;
+    }
+    callStore(node, transaction.timeout, true, [this, node, transaction](CallStatus status) {
+        StoreReply result{.call = transaction.call, .status = status, .items = {}};
+        if (status == CallStatus::Ok) {
+            result = transact(transaction);
+            if (nodes[node].pauseAfterWrite.count() > 0 && nodes[node].up && !nodes[node].paused) {
+                pause(node, std::exchange(nodes[node].pauseAfterWrite, milliseconds(0)));
+            }
+        }
+        return storeReplyHandler(std::move(result));
+    });
+}
+
+void World::carryOut(std::size_t node, const StoreRange &request)
+{
+    callStore(node, callTimeout, false, [this, request](CallStatus status) {
+        StoreReply result = status == CallStatus::Ok ? range(request) : StoreReply{.call = request.call, .items = {}};
+        result.status = status;
+        return storeReplyHandler(std::move(result));
+    });
+}
+
+void World::carryOut(std::size_t node, const StoreOpenLease &open)
+{
+    callStore(node, callTimeout, false, [this, node, open](CallStatus status) {
+        StoreReply result{.call = open.call, .status = status, .items = {}, .timeToLive = open.timeToLive};
+        if (status == CallStatus::Ok) {
+            result.lease = 1000 + ++m_order;
+            store.leases[result.lease] = {time + open.timeToLive, open.timeToLive};
+            store.leaseOwners[result.lease] = node;
+        }
+        return storeReplyHandler(std::move(result));
+    });
+}
+
+void World::carryOut(std::size_t node, const StoreKeepAlive &keep)
+{
+    callStore(node, keep.timeout, false, [this, keep](CallStatus status) {
+        const auto found = store.leases.find(keep.lease);
+        StoreReply result{.call = keep.call, .status = status, .items = {}};
+        if (status == CallStatus::Ok && found == store.leases.end()) {
+            result.status = CallStatus::NotFound;
+        } else if (status == CallStatus::Ok) {
+            found->second.first = time + found->second.second;
+        }
+        return storeReplyHandler(std::move(result));
+    });
+}
+
+void World::carryOut(std::size_t node, const StoreEndLease &end)
+{
+    if (!isSilent(node) && !isRefused(node)) {
+        store.leases[end.lease].first = time;
+    }
+}
+
+void World::carryOut(std::size_t node, const ReadConfiguration &read)
+{
+    ++store.configurationReads;
+    after(store.slowLinks.contains(node) ? slowTransfer : milliseconds(0), [this, node, id = read.call] {
+        ConfigurationReply result{.call = id, .status = CallStatus::Refused, .configuration = {}};
+        if (!isRefused(node)) {
+            result = {.call = id, .status = CallStatus::Ok, .configuration = configuration, .revision = store.revision};
+        }
+        reply(node, [result](Node &owner, Now at) { handleConfigurationReply(owner, result, at); });
+    });
+}
+
+void World::carryOut(std::size_t node, const WatchConfiguration &watch)
+{
+    const milliseconds transfer = store.slowLinks.contains(node) ? slowTransfer : milliseconds(0);
+    after(watch.wait + transfer, [this, node, id = watch.call] {
+        ConfigurationReply result{.call = id, .status = CallStatus::Refused, .configuration = {}};
+        if (!isRefused(node)) {
+            result.status = CallStatus::Ok;
+            result.revision = store.revision;
+            const bool changed = nodes[node].up && configuration.version > nodes[node].node->configuration.version;
+            result.configuration = changed ? std::optional(configuration) : std::nullopt;
+        }
+        reply(node, [result](Node &owner, Now at) { handleConfigurationReply(owner, result, at); });
+    });
+}
+
+void World::carryOut(std::size_t node, const ReadWorkers &directory)
+{
+    callStore(node, callTimeout, false, [this, id = directory.call](CallStatus status) {
+        WorkersReply result{.call = id, .status = status, .workers = {}};
+        for (const WorldWorker &worker : workers) {
+            const bool listed = worker.up || time - worker.downSince < rules.directoryDelay;
+            if (listed && !worker.unlisted) {
+                result.workers.push_back(worker.entry);
+            }
+        }
+        return [result](Node &owner, Now at) { handleWorkersReply(owner, result, at); };
+    });
+}
+
+World::Link World::linkTo(std::size_t node, const WorldWorker &worker) const
+{
+    if (worker.refusesFrom.contains(node) || (!worker.up && worker.refusesWhileDown)) {
+        return Link::Refused;
+    }
+    return worker.up && !worker.unresponsive && !worker.unreachableFrom.contains(node) ? Link::Open : Link::Cut;
+}
+
+void World::replyToOrder(std::size_t node, milliseconds delay, OrderReply result)
+{
+    after(delay,
+        [this, node, result] { reply(node, [result](Node &owner, Now at) { handleOrderReply(owner, result, at); }); });
+}
+
+bool World::isOrderLate()
+{
+    return rules.lateOrderPercent > 0 && randomBelow(random, 100) < rules.lateOrderPercent;
+}
+
+void World::carryOutLate(const WorkerTarget &target, std::function<void()> act)
+{
+    const std::size_t worker = workerIndex(target.id);
+    const WorkerLife life = lifeOf(workers[worker]);
+    const milliseconds delay = drawDelay(random, earliestLateOrder, lateOrderSpreadMs);
+    after(delay, [this, worker, life, act = std::move(act)] {
+        const bool reached = lifeOf(workers[worker]) == life || rules.lateOrdersReachNextIncarnation;
+        if (workers[worker].up && reached) {
+            act();
+        }
+    });
+}
+
+void World::carryOut(std::size_t node, const StartRun &order)
+{
+    OrderReply unanswered{.call = order.call, .status = CallStatus::Unknown};
+    if (linkTo(node, workers[workerIndex(order.worker.id)]) == Link::Open && isOrderLate()) {
+        carryOutLate(order.worker, [this, order] { start(order); });
+        replyToOrder(node, order.timeout, unanswered);
+        return;
+    }
+    if (startDelay > order.timeout) {
+        replyToOrder(node, order.timeout, unanswered);
+    }
+    after(networkDelay + startDelay, [this, node, order, unanswered]() mutable {
+        const Link link = linkTo(node, workers[workerIndex(order.worker.id)]);
+        if (link == Link::Refused) {
+            unanswered.status = CallStatus::Unreachable;
+        }
+        const bool timesOut = link == Link::Cut && rules.ownClocks;
+        replyToOrder(node, timesOut ? order.timeout : milliseconds(0), link == Link::Open ? start(order) : unanswered);
+    });
+}
+
+void World::carryOut(std::size_t node, const StopRun &order)
+{
+    OrderReply unanswered{.call = order.call, .status = CallStatus::Unknown};
+    if (linkTo(node, workers[workerIndex(order.worker.id)]) == Link::Open && isOrderLate()) {
+        carryOutLate(order.worker, [this, order] { stop(order); });
+        replyToOrder(node, order.timeout, unanswered);
+        return;
+    }
+    after(networkDelay, [this, node, order, unanswered]() mutable {
+        const Link link = linkTo(node, workers[workerIndex(order.worker.id)]);
+        if (link == Link::Refused) {
+            unanswered.status = CallStatus::Unreachable;
+        }
+        const bool timesOut = link == Link::Cut && rules.ownClocks;
+        replyToOrder(node, timesOut ? order.timeout : milliseconds(0), link == Link::Open ? stop(order) : unanswered);
+    });
+}
+
+void World::failRenewal(std::size_t node, milliseconds delay, CallId call, CallStatus status)
+{
+    after(delay, [this, node, call, status] {
+        reply(node, [call, status](Node &owner, Now at) {
+            handleRenewReply(owner, {.call = call, .status = status, .running = {}, .ended = {}}, at);
+        });
+    });
+}
+
+void World::carryOut(std::size_t node, const RenewWorker &renewal)
+{
+    const std::size_t worker = workerIndex(renewal.worker.id);
+    const bool delayed = renewalDelay.count() > 0 && worker == delayedWorker;
+    if (delayed) {
+        after(renewalDelay, [this, worker, renewal] { renew(worker, renewal); });
+    }
+    const bool late = !delayed && linkTo(node, workers[worker]) == Link::Open && isOrderLate();
+    if (late) {
+        carryOutLate(renewal.worker, [this, worker, renewal] { renew(worker, renewal); });
+    }
+    after(networkDelay, [this, node, worker, lost = late || delayed, renewal] {
+        const Link link = linkTo(node, workers[worker]);
+        if (link == Link::Refused && !lost) {
+            failRenewal(node, milliseconds(0), renewal.call, CallStatus::Unreachable);
+            return;
+        }
+        const bool dropsReplies = workers[worker].dropsReplies;
+        if (dropsReplies && !lost && workers[worker].up) {
+            renew(worker, renewal);
+        }
+        if (lost || dropsReplies || link == Link::Cut) {
+            failRenewal(node, renewal.timeout, renewal.call, CallStatus::Unknown);
+            return;
+        }
+        const auto lists = renew(worker, renewal);
+        if (lists) {
+            reply(node, [lists = *lists](Node &owner, Now at) { handleRenewReply(owner, lists, at); });
+            return;
+        }
+        workers[worker].waitingRenewals.emplace_back(nodes[node].up ? nodes[node].node->options.name : "", renewal);
+        after(renewal.wait, [this, worker] { answerRenewals(worker); });
+        // Sent in case the worker has stopped answering or crashed meanwhile. The daemon ignores it after a real reply.
+        failRenewal(node, renewal.timeout, renewal.call, CallStatus::Unknown);
+    });
+}
+
+void World::carryOut(std::size_t node, const RequestAdvice &request)
+{
+    const milliseconds takes = adviceTakesTime ? request.timeout - adviceSlack : milliseconds(0);
+    after(takes, [this, node, request] {
+        reply(node, [result = advise(request)](Node &owner, Now at) { handleAdviceReply(owner, result, at); });
+    });
+}
+
+void World::carryOut(std::size_t node, const AnswerClient &answered)
+{
+    answers[answered.answer.call] = answered.answer;
+    const auto query = m_callJobs.find(answered.answer.call);
+    const bool done = answered.answer.outcome == ClientOutcome::Ok && answered.answer.state == JobState::Done;
+    if (rules.acknowledgedEndsCount && done && query != m_callJobs.end()) {
+        report(recordShownDone(history, query->second, specs[query->second],
+            fmt::format("by {} at {} ms", nodes[node].node->options.name, time.count())));
+    }
+}
+
+void World::carryOut(std::size_t node, const SendToNode &message)
+{
+    const std::string from = nodes[node].node->options.name;
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+        if (!nodes[i].up || nodes[i].node->options.name != message.node) {
+            continue;
+        }
+        milliseconds &arrival = nodes[i].peerArrivals[from];
+        arrival = std::max(arrival, time + networkDelay + std::max(nodes[i].peerLatency, nodes[node].peerLatency));
+        after(arrival - time, [this, i, from, receiver = nodes[i].node.get(), body = message.body] {
+            if (!nodes[i].dropsPeerMessages) {
+                deliver(i, receiver, [from, body](Node &owner, Now at) { handlePeerMessage(owner, from, body, at); });
+            }
+        });
+    }
+}
+
+void World::carryOut(std::size_t node, const DialNode &dialled)
+{
+    connectNodes(node, dialled.endpoint);
+}
+
+} // namespace wigeonkeel::dispatch
--- /dev/null
+++ b/tests/dispatch/random_faults.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "tests/dispatch/dispatch_world.h"
+
+#include <string>
+#include <vector>
+
+namespace wigeonkeel::dispatch
+{
+
+/// One fault of a plan. Its target is drawn with `pick` when it begins, because leaders change.
+struct Fault
+{
+    /// Position in faultTypes().
+    std::size_t type = 0;
+    milliseconds at{0};
+    milliseconds length{0};
+    std::uint64_t pick = 0;
+    /// Faults of daemons hit the leader of that time.
+    bool onLeader = false;
+};
+
+struct FaultType
+{
+    std::string_view name;
+    /// Begins the fault and schedules its end.
+    void (*begin)(World &world, const Fault &fault);
+    milliseconds shortest{0};
+    milliseconds longest{0};
+};
+
+/// Every kind of fault that plans are drawn from.
+std::span<const FaultType> faultTypes();
+
+/// Ends all faults: daemons run, workers that are up answer, the store serves everybody.
+void endAllFaults(World &world);
+
+struct PlannedJob
+{
+    milliseconds at{0};
+    JobId id = 0;
+    JobSpec spec;
+    bool urgent = false;
+};
+
+/// A load and an overlapping series of faults, drawn from a seed.
+struct FaultPlan
+{
+    std::uint64_t seed = 0;
+    std::size_t nodes = 3;
+    std::size_t workers = 5;
+    std::uint64_t failPercent = 0;
+    bool lateOrdersReachNextIncarnation = false;
+    /// Logs the simulated time and the faults between the daemons' own lines.
+    bool trace = false;
+    std::vector<PlannedJob> jobs;
+    std::vector<Fault> faults;
+};
+
+/// Which kinds of faults a plan is drawn from, and how many; empty for all kinds.
+struct FaultMix
+{
+    std::string_view name;
+    std::vector<std::string_view> types;
+    std::uint64_t fewest = 4;
+    std::uint64_t most = 14;
+};
+
+std::span<const FaultMix> faultMixes();
+
+FaultPlan drawPlan(std::uint64_t seed, const FaultMix &mix);
+/// Plays the load and the faults, then the recovery, and returns the broken rules.
+std::vector<std::string> playPlan(const FaultPlan &plan);
+/// Removes the faults and jobs without which the same rule is still broken.
+FaultPlan minimisePlan(FaultPlan plan, std::string_view rule);
+std::string describePlan(const FaultPlan &plan);
+
+} // namespace wigeonkeel::dispatch
--- /dev/null
+++ b/tests/dispatch/random_faults_test.cpp
@@ -0,0 +1,69 @@
+#include "core/log.h"
+#include "tests/dispatch/random_faults.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+#include <fmt/format.h>
+
+using namespace wigeonkeel;
+using namespace wigeonkeel::dispatch;
+
+namespace
+{
+
+constexpr std::uint64_t defaultSeeds = 24;
+constexpr std::uint64_t firstSeed = 1;
+
+std::uint64_t numberFromEnvironment(const char *name, std::uint64_t fallback)
+{
+    const char *text = std::getenv(name);
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+void checkSeed(std::uint64_t seed)
+{
+    const FaultMix &mix = faultMixes()[seed % faultMixes().size()];
+    const FaultPlan plan = drawPlan(seed, mix);
+    const std::vector<std::string> broken = playPlan(plan);
+    if (broken.empty()) {
+        return;
+    }
+    FaultPlan least = minimisePlan(plan, broken.front());
+    if (std::getenv("WIGEONKEEL_TRACE") != nullptr) {
+        setLogLevel(LogLevel::Info);
+        least.trace = true;
+    }
+    const std::vector<std::string> remaining = playPlan(least);
+    FAIL(fmt::format("{} (mix {})\n{}after minimising: {}", broken.front(), mix.name, describePlan(least),
+        remaining.empty() ? "none" : remaining.front())
+             .c_str());
+}
+
+} // namespace
+
+TEST_GROUP(DispatchRandomFaults){
+    // The lines of one seed would fill megabytes. WIGEONKEEL_TRACE=1 shows those of the least plan that fails.
+    void setup() override{setLogLevel(LogLevel::Error);
+}
+void teardown() override
+{
+    setLogLevel(LogLevel::Info);
+}
+}
+;
+
+// Guards against tasks that run twice or start again after an acknowledged end, workers over their capacity, too many
+// attempts, and accepted jobs that don't end, under overlapping faults. WIGEONKEEL_SEEDS=N plays N seeds, from
+// WIGEONKEEL_FIRST_SEED on. Late orders that reach the next incarnation of a worker are left out: they are a known open
+// point (docs/incidents/twice.md).
+TEST(DispatchRandomFaults, RulesHoldUnderOverlappingFaults)
+{
+    const std::uint64_t first = numberFromEnvironment("WIGEONKEEL_FIRST_SEED", firstSeed);
+    const std::uint64_t count = numberFromEnvironment("WIGEONKEEL_SEEDS", defaultSeeds);
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        checkSeed(seed);
+    }
+}
