dispatch: a daemon that abandons its claim doesn't forward calls twice

A follower had forwarded the submission, tried to claim, gave way to the same leader and forwarded it again.

--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -576,11 +576,15 @@
         node.outbox.add(StoreEndLease{.call = newStoreCall(node, StorePurpose::Ignored), .lease = leadership.lease});
         leadership.lease = 0;
     }
+    if (node.dispatcher) {
+        // Only a daemon that led had them itself. Calls that were forwarded before an abandoned claim are still with
+        // the leader, which could reject one copy and accept another.
+        for (auto &[call, entry] : node.entries) {
+            entry.sent = false;
+        }
+    }
     node.dispatcher.reset();
     node.forwarded.clear();
-    for (auto &[call, entry] : node.entries) {
-        entry.sent = false;
-    }
     leadership.reclaiming = false;
     leadership.keepAliveOpen = false;
     abandonClaim(node, now.monotonic);
--- a/tests/dispatch/forwarding_test.cpp
+++ b/tests/dispatch/forwarding_test.cpp
@@ -66,6 +66,20 @@
     CHECK(follower.node.entries.empty());
 }
 
+// Guards against a submission that is sent twice to the same leader because this daemon tried to replace it meanwhile.
+// The leader would reject one copy and accept the other.
+TEST(DispatchForwarding, CallsAreNotSentTwiceAfterAnAbandonedClaim)
+{
+    Follower follower;
+    CHECK_EQUAL(1, follower.forwarded());
+    follower.node.leadership.phase = ClaimPhase::ReadingControl;
+    handlePeerMessage(follower.node, "first", presenceOfLeader("first", 9), follower.now);
+    CHECK(follower.node.leadership.phase == ClaimPhase::Following);
+    tick(follower.node, follower.now);
+    const auto again = follower.forwarded();
+    CHECK_EQUAL(0, again);
+}
+
 // Guards against a former leader's rejection ending a call that was also sent to its successor.
 TEST(DispatchForwarding, AFormerLeadersRejectionIsIgnored)
 {
