soak: the adviser allows two workers for a step, however few there are

With fewer than ten workers it could allow a single one, so that a gang that needs two stayed queued. With ten or more it answers as before.

--- a/tests/soak/gangs_test.py
+++ b/tests/soak/gangs_test.py
@@ -123,5 +123,18 @@
         self.assertIn("after 2 failed runs", self.violations()[0])
 
 
+class PlatformTest(unittest.IsolatedAsyncioTestCase):
+    async def test_the_adviser_allows_at_least_two_workers_but_not_all(self):
+        for count in range(2, 21):
+            adviser = platform_standin.Adviser(count)
+            workers = [f"w{i}" for i in range(count)]
+            answers = await asyncio.gather(*(
+                adviser.take("", "", {}, json.dumps({"step": f"s{i}", "workers": workers})) for i in range(200)))
+            allowed = [len(answer["allowed"]) for _, answer in answers]
+            self.assertGreaterEqual(min(allowed), 2)
+            if count > 3:
+                self.assertLess(min(allowed), count)
+
+
 if __name__ == "__main__":
     sys.exit(unittest.main())
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -380,16 +380,18 @@
 
 
 class Adviser:
-    """Allows about two thirds of the workers for a step, always the same ones. Every fifth worker is allowed in any case:
-    the largest gang doesn't fit on one worker, and its job could not end with fewer than two."""
+    """Allows about two thirds of the workers for a step, always the same ones. Every fifth worker is allowed in any case,
+    or more of them where that is fewer than two of all: the largest gang doesn't fit on one worker, so that its job could
+    not end."""
 
-    def __init__(self):
+    def __init__(self, workers):
         self.server = HttpServer(self.take)
+        self.stride = max(1, min(5, workers // 2))
 
     async def take(self, _method, _path, _headers, body):
         content = json.loads(body)
         await asyncio.sleep(0.005)
         step = content["step"]
         allowed = [[worker, "t"] for worker in content["workers"]
-                   if hash((step, worker)) % 3 or int(worker[1:]) % 5 == hash(step) % 5]
+                   if hash((step, worker)) % 3 or int(worker[1:]) % self.stride == hash(step) % self.stride]
         return 200, {"allowed": allowed}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -139,7 +139,7 @@
         # The schedule of faults draws from a generator of its own, so that it doesn't depend on the timing of calls.
         platform_rng = random.Random(self.options.seed)
         self.store = Store(platform_rng)
-        self.adviser = Adviser()
+        self.adviser = Adviser(self.options.workers)
         self.adviser_port = await self.adviser.server.start(ADDRESS)
         gangs = {}
         self.workers = [Worker(platform_rng, f"w{i}", "z", self.checker, self.store, gangs)
