--- a/tests/soak/gangs_test.py
+++ b/tests/soak/gangs_test.py
@@ -9,6 +9,8 @@
 
 import platform_standin
 from checker import Checker
+from http_server import HttpClient, HttpServer
+from proxy import Proxy
 
 JOB = "00000000000000aa"
 
@@ -123,6 +125,62 @@
         self.assertIn("after 2 failed runs", self.violations()[0])
 
 
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.taken = []
+        self.server = HttpServer(self.take)
+        self.link = Proxy("127.0.0.1", await self.server.start("127.0.0.1"))
+        self.client = HttpClient("127.0.0.1", await self.link.start())
+
+    async def asyncTearDown(self):
+        self.client.close()
+        self.link.close()
+        await self.server.close()
+
+    async def take(self, _method, path, _headers, _body):
+        self.taken.append(path)
+        return 200, {}
+
+    async def call(self, path, timeout=0.1):
+        return (await self.client.request("GET", path, {}, None, timeout))[0]
+
+    async def test_a_refused_link_resets_what_is_open_and_takes_nothing_new_until_it_heals(self):
+        self.assertEqual(await self.call("/1"), 200)
+        self.link.disturb("refused")
+        with self.assertRaises((ConnectionError, EOFError)):
+            await self.call("/2")
+        with self.assertRaises(ConnectionRefusedError):
+            await self.call("/3")
+        self.link.heal()
+        await asyncio.sleep(0.02)
+        self.assertEqual(await self.call("/4"), 200)
+        self.assertEqual(self.taken, ["/1", "/4"])
+
+    async def test_what_is_held_arrives_when_the_link_heals(self):
+        self.link.disturb("held")
+        call = asyncio.create_task(self.call("/1", 1))
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.taken, [])
+        self.link.heal()
+        self.assertEqual(await call, 200)
+
+    async def test_what_is_held_does_not_reach_the_next_life(self):
+        self.link.disturb("held")
+        call = asyncio.create_task(self.call("/1"))
+        await asyncio.sleep(0.02)
+        self.link.drop_held()
+        self.link.heal()
+        with self.assertRaises((asyncio.TimeoutError, ConnectionError, EOFError)):
+            await call
+        self.assertEqual(self.taken, [])
+
+    async def test_a_deaf_link_delivers_requests_but_no_answers(self):
+        self.link.disturb("deaf")
+        with self.assertRaises(asyncio.TimeoutError):
+            await self.call("/1")
+        self.assertEqual(self.taken, ["/1"])
+
+
 class PlatformTest(unittest.IsolatedAsyncioTestCase):
     async def test_the_adviser_allows_at_least_two_workers_but_not_all(self):
         for count in range(2, 21):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,14 +13,13 @@
 import pathlib
 import random
 import signal
-import socket
 import sys
 import tempfile
 
 from checker import Checker, now
 from http_server import HttpClient
 from platform_standin import Adviser, Store, Worker
-from proxy import Proxy
+from proxy import Proxy, reserve
 
 ADDRESS = "127.0.0.1"
 HOST = "desk.example"
@@ -35,17 +34,14 @@
 GANG_SHARE = 0.35
 
 
-def free_port(rng=random.Random()):
-    """A port below those that the system gives to outgoing connections."""
+def reserve_port(rng=random.Random()):
+    """Reserves a port below those that the system gives to outgoing connections."""
     while True:
-        with socket.socket() as probe:
-            try:
-                port = rng.randrange(12000, 30000)
-                probe.bind((ADDRESS, port))
-                return port
-            except OSError:
-                # In use; the next one.
-                continue
+        try:
+            return reserve(ADDRESS, rng.randrange(12000, 30000))
+        except OSError:
+            # In use; the next one.
+            continue
 
 
 class Daemon:
@@ -54,7 +50,9 @@
     def __init__(self, soak, number):
         self.soak = soak
         self.name = f"n{number}"
-        self.ports = {name: free_port() for name in ("frontend", "readiness", "control", "advertised")}
+        # Kept for as long as the soak runs: another soak must not be given these ports while a daemon is down.
+        self.reserved = {name: reserve_port() for name in ("frontend", "readiness", "control", "advertised")}
+        self.ports = {name: each.getsockname()[1] for name, each in self.reserved.items()}
         self.peer_proxy = Proxy(ADDRESS, self.ports["control"])
         self.process = None
         self.stopping = False
@@ -65,7 +63,7 @@
         self.store_server = self.soak.store.server_for(self.name)
         self.store_proxy = Proxy(ADDRESS, await self.store_server.start(ADDRESS))
         self.store_port = await self.store_proxy.start()
-        await self.peer_proxy.start(self.ports["advertised"])
+        await self.peer_proxy.start(self.reserved["advertised"])
 
     def write_settings(self, seeds):
         listen = {name: f"{ADDRESS}:{self.ports[name]}" for name in ("frontend", "readiness", "control")}
