soak: faults of links to workers, of claims, racks and replaced daemons

Each daemon reaches each worker over a link of its own, which can be refused or cut while the worker runs on. New faults: links that fail after a takeover, a store that turns on a new leader, a daemon that stands still between a write and its answer, answers of the store that are held back, racks that are cut or lose power (with other ids afterwards, too), and daemons that are replaced for good. Some tasks take 2.5 s, so that a run that is taken for lost too early is still there. The leader is who wrote the last claim, no longer who wrote last: each daemon writes its own record.

--- a/tests/soak/gangs_test.py
+++ b/tests/soak/gangs_test.py
@@ -1,6 +1,8 @@
-"""Gangs of the soak's workers, and the checks of them. A check that finds nothing would hide every fault of its kind."""
+"""Gangs of the soak's workers, the checks of them, and faults that would go unnoticed if they did nothing. A check that
+finds nothing would hide every fault of its kind."""
 
 import asyncio
+import base64
 import json
 import random
 import sys
@@ -193,6 +195,27 @@
             if count > 3:
                 self.assertLess(min(allowed), count)
 
+    async def test_a_daemon_sees_its_own_links_in_the_directory(self):
+        store = platform_standin.Store(random.Random(1))
+        worker = platform_standin.Worker(random.Random(1), "w0", "z", Checker(2), store, {})
+        await worker.start()
+        await worker.link_to("n0")
+        for node, port in (("n0", worker.links["n0"].port), ("n1", worker.port)):
+            _, answer = await store.take(node, "GET", "/v1/kv-range?prefix=servers/", {}, None)
+            entry = json.loads(base64.b64decode(answer["items"][0]["value"]))
+            self.assertEqual(entry["addr"], f"127.0.0.1:{port}")
+        worker.links["n0"].close()
+        await worker.server.close()
+
+    async def test_a_claim_is_seen_before_its_answer(self):
+        store = platform_standin.Store(random.Random(1))
+        seen = []
+        store.on_commit = lambda node, claim: seen.append((node, claim))
+        for key in (platform_standin.CLAIM_KEY, "wk/job/1"):
+            body = json.dumps({"writes": [{"key": key, "value": ""}]})
+            self.assertEqual((await store.take("n1", "POST", "/v1/kv-txn", {}, body))[0], 200)
+        self.assertEqual((seen, store.leader, store.claims), ([("n1", True), ("n1", False)], "n1", 1))
+
 
 if __name__ == "__main__":
     sys.exit(unittest.main())
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -9,10 +9,17 @@
 import urllib.parse
 
 from http_server import NO_ANSWER, RESET, HttpServer
+from proxy import Proxy
 
 MOST_TRANSACTION_ENTRIES = 32
 HISTORY = 2000
 SLOWEST_WORKER_CLOCK = 0.98
+CLAIM_KEY = "wk/ctl/leader"
+RACK_SIZE = 5
+# An entry of the directory is removed after three heartbeats that didn't come.
+SILENCE_S = 1.5
+# A worker that comes back under another id has this added to its number, so that the adviser judges it as before.
+NEXT_ID = 60
 GANG_TIMEOUT_S = 3.0
 
 
@@ -37,8 +44,14 @@
         self.fault_of = {}
         self.latency = 0.003
         self.lost = 0.0
-        # The daemon whose write was last accepted, which is the leader most of the time.
-        self.last_writer = ""
+        # The daemon that wrote the last claim, and its number; set again with each claim.
+        self.leader = ""
+        self.claims = 0
+        self.claimed = asyncio.Event()
+        # Called with the daemon, and whether it is a claim, between a write and its answer.
+        self.on_commit = None
+        # The address at which a daemon reaches a worker instead of the worker's own.
+        self.addresses = {}
         self.violations = []
 
     def put(self, key, value, lease=0):
@@ -56,6 +69,12 @@
         if self.items.pop(key, None) is not None:
             self.history.append((self.revision, {"key": key, "revision": self.revision, "deleted": True}))
 
+    def drop(self, key):
+        if key in self.items:
+            self.revision += 1
+            self.remove(key)
+            self.wake()
+
     def wake(self):
         if len(self.history) > HISTORY:
             self.oldest = self.history[-HISTORY][0]
@@ -85,6 +104,14 @@
     def server_for(self, node):
         return HttpServer(lambda *call: self.take(node, *call))
 
+    def localized(self, node, item):
+        """The item as this daemon sees it: its links to workers are proxies."""
+        if not item["key"].startswith("servers/") or "value" not in item:
+            return item
+        entry = json.loads(base64.b64decode(item["value"]))
+        entry["addr"] = self.addresses.get((node, entry["addr"]), entry["addr"])
+        return {**item, "value": base64.b64encode(json.dumps(entry).encode()).decode()}
+
     async def take(self, node, method, target, _headers, body):
         fault = self.fault or self.fault_of.get(node, "")
         if fault == "silent":
@@ -100,13 +127,29 @@
         content = json.loads(body) if body else {}
         if path == "/v1/kv-txn" and self.rng.random() < self.lost:
             if self.rng.random() < 0.5:
-                self.transact(content)
+                self.commit(node, content)
             else:
-                asyncio.get_running_loop().call_later(self.rng.uniform(1, 6), self.transact, content)
+                asyncio.get_running_loop().call_later(self.rng.uniform(1, 6), self.commit, node, content)
             return NO_ANSWER
+        if path == "/v1/kv-txn":
+            return self.commit(node, content)
         status, answer = await self.answer(method, path, query, content)
-        if path == "/v1/kv-txn" and status == 200:
-            self.last_writer = node
+        for name in ("items", "events"):
+            if name in answer:
+                answer[name] = [self.localized(node, item) for item in answer[name]]
+        return status, self.localized(node, answer) if "key" in answer else answer
+
+    def commit(self, node, content):
+        status, answer = self.transact(content)
+        if status == 200:
+            claim = any(row["key"] == CLAIM_KEY for row in content.get("writes", []))
+            if claim:
+                self.leader = node
+                self.claims += 1
+                self.claimed.set()
+                self.claimed = asyncio.Event()
+            if self.on_commit is not None:
+                self.on_commit(node, claim)
         return status, answer
 
     async def answer(self, method, path, query, content):
@@ -120,8 +163,6 @@
                          "currentRev": self.revision}
         if path == "/v1/kv-watch":
             return await self.watch(query["prefix"], int(query["after"]), int(query["waitMs"]) / 1000)
-        if path == "/v1/kv-txn":
-            return self.transact(content)
         if path == "/v1/kv-lease":
             self.next_lease += 1
             self.leases[self.next_lease] = [now() + content["ttlMs"] / 1000, content["ttlMs"] / 1000]
@@ -199,6 +240,8 @@
         self.fault = ""
         self.late_share = 0.0
         self.draining = False
+        # A proxy for each daemon that reaches this worker.
+        self.links = {}
         self.server = HttpServer(self.take)
         self.clock_offset = rng.uniform(1000, 5000)
         self.clock_rate = rng.uniform(SLOWEST_WORKER_CLOCK, 1.0)
@@ -215,6 +258,9 @@
         self.lapsed_until = 0.0
         self.stopped = {}
         self.waiters = asyncio.Event()
+        for link in self.links.values():
+            # Bytes on their way on a connection reach no later life.
+            link.drop_held()
 
     def crash(self):
         lost = list(self.runs.values())
@@ -226,17 +272,27 @@
         # A restart takes longer than a millisecond, so that the new life has another start.
         self.born = 0
 
+    def take_next_id(self):
+        """The next life registers itself under another id, at the same address."""
+        self.name = f"w{int(self.name[1:]) + NEXT_ID}"
+
     async def start(self):
         self.port = await self.server.start("127.0.0.1")
         self.beat()
 
+    async def link_to(self, node):
+        link = self.links[node] = Proxy("127.0.0.1", self.port)
+        self.store.addresses[(node, f"127.0.0.1:{self.port}")] = f"127.0.0.1:{await link.start()}"
+
     def clock_ms(self):
         return int(self.clock_offset + (now() - self.born_at) * 1000 * self.clock_rate)
 
     def beat(self):
+        if self.born == 0:
+            return
         entry = {"service": "pool", "addr": f"127.0.0.1:{self.port}", "zone": self.zone, "version": "1", "slots": 8,
                  "state": "draining" if self.draining else "ready", "coldLeftMs": 0, "seq": 1, "born": self.born,
-                 "capacity": self.capacity, "labels": ["a", "r1"]}
+                 "capacity": self.capacity, "labels": ["a", f"r{int(self.name[1:]) % NEXT_ID // RACK_SIZE + 1}"]}
         self.store.put(f"servers/{self.name}", base64.b64encode(json.dumps(entry).encode()).decode())
 
     def end(self, task, how):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,6 +20,7 @@
 from http_server import HttpClient
 from platform_standin import Adviser, Store, Worker
 from proxy import Proxy, reserve
+import scenarios
 
 ADDRESS = "127.0.0.1"
 HOST = "desk.example"
@@ -47,9 +48,11 @@
 class Daemon:
     """One process of wigeonkeel_entry. Others and the store are reached through proxies."""
 
-    def __init__(self, soak, number):
+    def __init__(self, soak, key, name):
         self.soak = soak
-        self.name = f"n{number}"
+        # A process that replaces another may have its name; its key is its own.
+        self.key = key
+        self.name = name
         # Kept for as long as the soak runs: another soak must not be given these ports while a daemon is down.
         self.reserved = {name: reserve_port() for name in ("frontend", "readiness", "control", "advertised")}
         self.ports = {name: each.getsockname()[1] for name, each in self.reserved.items()}
@@ -60,10 +63,12 @@
         self.paused = False
 
     async def prepare(self):
-        self.store_server = self.soak.store.server_for(self.name)
+        self.store_server = self.soak.store.server_for(self.key)
         self.store_proxy = Proxy(ADDRESS, await self.store_server.start(ADDRESS))
         self.store_port = await self.store_proxy.start()
         await self.peer_proxy.start(self.reserved["advertised"])
+        for worker in self.soak.workers:
+            await worker.link_to(self.key)
 
     def write_settings(self, seeds):
         listen = {name: f"{ADDRESS}:{self.ports[name]}" for name in ("frontend", "readiness", "control")}
@@ -73,11 +78,11 @@
                                "graceS": GRACE_S},
                     "advice": f"{ADDRESS}:{self.soak.adviser_port}",
                     "platform": {"addr": f"{ADDRESS}:{self.store_port}"}}
-        self.settings = self.soak.folder / f"{self.name}.json"
+        self.settings = self.soak.folder / f"{self.key}.json"
         self.settings.write_text(json.dumps(settings))
 
     async def start(self):
-        log = open(self.soak.folder / f"{self.name}.log", "ab")
+        log = open(self.soak.folder / f"{self.key}.log", "ab")
         self.process = await asyncio.create_subprocess_exec(
             str(self.soak.program), f"--settings={self.settings}", "--metrics_port=0",
             f"--advertise={ADDRESS}:{self.ports['advertised']}", stdout=log, stderr=log)
@@ -85,6 +90,13 @@
         self.stopping = False
         self.started_at = now()
 
+    def close(self):
+        """Nobody reaches this daemon any more, nor does it reach anybody."""
+        for link in (self.store_proxy, self.peer_proxy, *(worker.links[self.key] for worker in self.soak.workers)):
+            link.close()
+        for reserved in self.reserved.values():
+            reserved.close()
+
     def is_up(self):
         return self.process is not None and self.process.returncode is None
 
@@ -99,6 +111,11 @@
         if self.stopping or not self.is_up():
             return
         self.stopping = True
+        await self.end(number)
+        await asyncio.sleep(pause)
+        await self.start()
+
+    async def end(self, number):
         pauses = self.pauses
         young = now() - self.started_at < STARTUP_S
         self.signal(number)
@@ -106,7 +123,7 @@
             await asyncio.wait_for(self.process.wait(), GRACE_S)
         except asyncio.TimeoutError:
             if pauses == self.pauses and not self.paused:
-                self.soak.checker.fail(f"{self.name} was still there at the end of the grace time")
+                self.soak.checker.fail(f"{self.key} was still there at the end of the grace time")
             number = signal.SIGKILL
             self.signal(number)
             await self.process.wait()
@@ -115,9 +132,7 @@
             # The signal may arrive before the process handles it; it has no clients yet.
             expected.append(-number)
         if self.process.returncode not in expected:
-            self.soak.checker.fail(f"{self.name} ended with {self.process.returncode}, expected {expected}")
-        await asyncio.sleep(pause)
-        await self.start()
+            self.soak.checker.fail(f"{self.key} ended with {self.process.returncode}, expected {expected}")
 
 
 class Soak:
@@ -131,7 +146,11 @@
         self.clients = {}
         self.version = 1
         self.tasks = []
+        self.pending = []
         self.events = []
+        self.daemons = []
+        # Those that were replaced are among these.
+        self.all_daemons = []
 
     async def set_up(self):
         # The schedule of faults draws from a generator of its own, so that it doesn't depend on the timing of calls.
@@ -145,18 +164,52 @@
         for worker in self.workers:
             await worker.start()
         self.configure()
-        self.daemons = [Daemon(self, i) for i in range(self.options.daemons)]
+        for _ in range(self.options.daemons):
+            await self.add_daemon()
         for daemon in self.daemons:
-            await daemon.prepare()
+            await daemon.start()
+        self.spawn(self.turn_workers())
+
+    async def add_daemon(self, name=None):
+        """Prepares a daemon, which is not started yet, with a new name by default."""
+        key = f"n{len(self.all_daemons)}"
+        daemon = Daemon(self, key, name or key)
+        await daemon.prepare()
+        self.daemons.append(daemon)
+        self.all_daemons.append(daemon)
+        self.write_settings()
+        return daemon
+
+    def write_settings(self):
         seeds = [daemon.ports["advertised"] for daemon in self.daemons[:3]]
         for daemon in self.daemons:
             daemon.write_settings(seeds)
-            await daemon.start()
-        self.spawn(self.turn_workers())
 
     def spawn(self, coroutine):
         self.tasks.append(asyncio.get_running_loop().create_task(coroutine))
 
+    def follow_up(self, coroutine):
+        """What goes on when its fault has returned; the soak waits for it before it judges."""
+        self.pending.append(asyncio.get_running_loop().create_task(coroutine))
+
+    def later(self, seconds, act):
+        async def wait():
+            await asyncio.sleep(seconds)
+            act()
+        self.follow_up(wait())
+
+    def note(self, event):
+        self.events.append(f"{now():.2f} {event}")
+        self.checker.note(event)
+
+    def leader(self):
+        """The daemon that wrote the last claim."""
+        return next((each for each in self.daemons if each.key == self.store.leader), self.daemons[0])
+
+    @staticmethod
+    def links(daemon, workers):
+        return [(f"{daemon.key}-{worker.name}", worker.links[daemon.key]) for worker in workers]
+
     def configure(self):
         self.version += self.rng.randint(1, 3)
         routes = [{"name": name, "host": HOST, "prefix": f"/{name}/", "service": "pool", "priority": 2 * i,
@@ -183,7 +236,7 @@
             job = f"{rng.getrandbits(64):016x}"
             seen = {"outcomes": [], "states": [], "state": None, "cancelled": False, "fails": rng.random() < 0.05}
             queue = rng.choice(QUEUES)
-            size = {"cpu": rng.choice((200, 500, 1200)), "ms": rng.choice((100, 300, 900))}
+            size = {"cpu": rng.choice((200, 500, 1200)), "ms": rng.choice((100, 300, 900, 2500))}
             steps = self.steps(rng, size)
             spec = json.dumps({**size, "fails": seen["fails"],
                                "gangs": [step["count"] if "gang" in step else 0 for step in steps]})
@@ -211,13 +264,13 @@
     async def call(self, rng, connections, method, path, body, timeout=CLIENT_DEADLINE_S):
         """Status and body; (0, {}) without an answer, (-1, {}) if the request was surely not read."""
         daemon = rng.choice([each for each in self.daemons if each.is_up()] or self.daemons)
-        client = connections.setdefault(daemon.name, HttpClient(ADDRESS, daemon.ports["frontend"]))
+        client = connections.setdefault(daemon.key, HttpClient(ADDRESS, daemon.ports["frontend"]))
         headers = {"Host": HOST, "Content-Type": "application/json",
                    "X-Wigeonkeel-Deadline-Ms": str(int(timeout * 1000))}
         try:
             status, _, content = await client.request(method, path, headers, body, timeout + 0.5)
             if status == 410:
-                self.checker.note(f"{daemon.name} answers 410 for {method} {path}")
+                self.checker.note(f"{daemon.key} answers 410 for {method} {path}")
             return status, content
         except (OSError, EOFError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             return (0 if client.sent else -1), {}
@@ -248,7 +301,7 @@
     # --- faults ---
 
     async def hold_fault(self, name, begin, end, seconds):
-        self.events.append(f"{now():.2f} {name} for {seconds:.1f} s")
+        self.note(f"{name} for {seconds:.1f} s")
         begin()
         await asyncio.sleep(seconds)
         end()
@@ -262,6 +315,7 @@
         store = self.store
         link = rng.choice((daemon.store_proxy, daemon.peer_proxy))
         what = rng.choice(("silent", "busy", "reset"))
+        own_rng = random.Random(rng.random())
 
         def set_to(target, name, value, otherwise):
             return (lambda: setattr(target, name, value)), (lambda: setattr(target, name, otherwise))
@@ -281,15 +335,15 @@
 
         async def former_leader():
             """The leader is paused until its successor has led, and goes on when that one is gone."""
-            leader = next((each for each in self.daemons if each.name == store.last_writer), daemon)
+            leader = self.leader()
             if any(each.paused for each in self.daemons):
                 return
-            self.events.append(f"{now():.2f} SIGSTOP {leader.name}, which leads")
+            self.note(f"SIGSTOP {leader.key}, which leads")
             leader.signal(signal.SIGSTOP)
             revoke_leases()
             await asyncio.sleep(1.0 + seconds / 2)
-            successor = next((each for each in self.daemons if each.name == store.last_writer), daemon)
-            self.events.append(f"{now():.2f} SIGCONT {leader.name}; SIGKILL {successor.name}, which leads after it")
+            successor = self.leader()
+            self.note(f"SIGCONT {leader.key}; SIGKILL {successor.key}, which leads after it")
             restart = asyncio.create_task(successor.restart(signal.SIGKILL, rng.uniform(0, 1)))
             # The restart sends its signal before anything else.
             await asyncio.sleep(0)
@@ -299,17 +353,17 @@
 
         async def power_loss():
             """Workers whose ends nobody has taken note of lose power while the leader, or all, can't reach the store."""
-            leader = self.store.last_writer
+            leader = store.leader
             for_all = rng.random() < 0.3
             loss_at, revoked = rng.uniform(0.3, 1.5), rng.random() < 0.5
-            self.events.append(f"{now():.2f} store {what} for {'all' if for_all else leader} until workers lose power")
-            cut_off = [each.name for each in self.daemons if for_all or each.name == leader]
+            self.note(f"store {what} for {'all' if for_all else leader} until workers lose power")
+            cut_off = [each.key for each in self.daemons if for_all or each.key == leader]
             store.fault_of.update(dict.fromkeys(cut_off, what))
             if revoked:
                 revoke_leases()
             await asyncio.sleep(loss_at)
             lost = [each for each in self.workers if each.ends][:MOST_POWER_LOSSES]
-            self.events.append(f"{now():.2f} power lost by {' '.join(each.name for each in lost)}")
+            self.note(f"power lost by {' '.join(each.name for each in lost)}")
             for each in lost:
                 each.crash()
             await asyncio.sleep(seconds)
@@ -323,7 +377,7 @@
             worker.beat()
 
         async def once(name, act):
-            self.events.append(f"{now():.2f} {name}")
+            self.note(name)
             result = act()
             if asyncio.iscoroutine(result):
                 await result
@@ -331,18 +385,18 @@
         faults = {
             "store down": lambda: self.hold_fault(f"store {what}", *set_to(store, "fault", what, ""), seconds),
             "store refuses one": lambda: self.hold_fault(
-                f"store {what} for {daemon.name}", lambda: store.fault_of.update({daemon.name: what}),
-                lambda: store.fault_of.pop(daemon.name, None), seconds),
+                f"store {what} for {daemon.key}", lambda: store.fault_of.update({daemon.key: what}),
+                lambda: store.fault_of.pop(daemon.key, None), seconds),
             "store slow": lambda: self.hold_fault("store slow", *set_to(store, "latency", 0.25, 0.003), seconds),
             "answers lost": lambda: self.hold_fault("store answers lost", *set_to(store, "lost", 0.35, 0.0), seconds),
             "leases revoked": lambda: once("leases revoked", revoke_leases),
             "history lost": lambda: once("history lost", store.compact),
-            "link delayed": lambda: self.hold_fault(f"link of {daemon.name} delayed", *set_to(link, "delay", 0.08, 0.0),
+            "link delayed": lambda: self.hold_fault(f"link of {daemon.key} delayed", *set_to(link, "delay", 0.08, 0.0),
                                                     seconds),
             "link cut": lambda: self.hold_fault(
-                f"link of {daemon.name} cut", lambda: link.lost.add(rng.choice(("out", "back"))), link.heal, seconds),
-            "link reset": lambda: once(f"links of {daemon.name} reset", link.reset),
-            "link silent": lambda: once(f"links of {daemon.name} silent", link.silence),
+                f"link of {daemon.key} cut", lambda: link.lost.add(rng.choice(("out", "back"))), link.heal, seconds),
+            "link reset": lambda: once(f"links of {daemon.key} reset", link.reset),
+            "link silent": lambda: once(f"links of {daemon.key} silent", link.silence),
             "worker silent": lambda: self.hold_fault(f"{worker.name} silent", *set_to(worker, "fault", "silent", ""),
                                                      seconds),
             "worker fails": lambda: self.hold_fault(f"{worker.name} fails", *set_to(worker, "fault", "grey", ""), seconds),
@@ -355,16 +409,24 @@
             "worker drains": lambda: self.hold_fault(f"{worker.name} drains", lambda: drain(True), lambda: drain(False),
                                                      seconds),
             "orders late": lambda: self.hold_fault(f"{worker.name} late", *set_to(worker, "late_share", 0.5, 0.0), seconds),
-            "daemon terminated": lambda: once(f"SIGTERM {daemon.name}",
+            "daemon terminated": lambda: once(f"SIGTERM {daemon.key}",
                                               lambda: daemon.restart(signal.SIGTERM, rng.uniform(0, 1))),
-            "daemon killed": lambda: once(f"SIGKILL {daemon.name}",
+            "daemon killed": lambda: once(f"SIGKILL {daemon.key}",
                                           lambda: daemon.restart(signal.SIGKILL, rng.uniform(0, 2))),
-            "daemon paused": lambda: self.hold_fault(f"SIGSTOP {daemon.name}", lambda: daemon.signal(signal.SIGSTOP),
+            "daemon paused": lambda: self.hold_fault(f"SIGSTOP {daemon.key}", lambda: daemon.signal(signal.SIGSTOP),
                                                      lambda: daemon.signal(signal.SIGCONT), seconds),
             "all killed": lambda: once("SIGKILL all", lambda: asyncio.gather(
                 *(each.restart(signal.SIGKILL, rng.uniform(0, 1)) for each in self.daemons))),
             "settings changed": lambda: once("settings changed", self.configure),
-            "reload": lambda: once(f"SIGHUP {daemon.name}", lambda: daemon.signal(signal.SIGHUP)),
+            "worker links": lambda: scenarios.worker_links(self, own_rng),
+            "links after takeover": lambda: scenarios.links_after_takeover(self, own_rng),
+            "store turns on new leader": lambda: scenarios.store_turns_on_new_leader(self, own_rng),
+            "paused before answer": lambda: scenarios.paused_before_answer(self, own_rng),
+            "store answers held": lambda: scenarios.store_answers_held(self, own_rng),
+            "rack cut": lambda: scenarios.rack_cut(self, own_rng),
+            "rack power loss": lambda: scenarios.rack_power_loss(self, own_rng),
+            "daemon replaced": lambda: scenarios.daemon_replaced(self, own_rng),
+            "reload": lambda: once(f"SIGHUP {daemon.key}", lambda: daemon.signal(signal.SIGHUP)),
         }
         unknown = set(self.options.only or ()) - set(faults)
         if unknown:
@@ -378,6 +440,7 @@
             # Now and then the next fault comes at once.
             await asyncio.sleep(self.rng.choice((0.0, 0.3, 1.0, 2.0)))
         await asyncio.gather(*running)
+        await asyncio.gather(*self.pending)
 
     # --- the whole ---
 
@@ -392,7 +455,7 @@
             except (OSError, EOFError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
                 status = repr(error)
             if status != 200:
-                self.checker.fail(f"{daemon.name} answers {status} for a route that was added 2 s ago")
+                self.checker.fail(f"{daemon.key} answers {status} for a route that was added 2 s ago")
             client.close()
 
     async def run(self):
@@ -411,11 +474,12 @@
         return self.checker.violations
 
     async def tear_down(self):
-        for daemon in self.daemons:
+        for daemon in self.all_daemons:
             if daemon.is_up():
                 daemon.signal(signal.SIGCONT)
                 daemon.signal(signal.SIGKILL)
                 await daemon.process.wait()
+            daemon.close()
         for task in self.tasks:
             task.cancel()
 
