--- a/tests/soak/gangs_test.py
+++ b/tests/soak/gangs_test.py
@@ -126,6 +126,26 @@
         self.start(2, 0, 3)
         self.assertIn("after 2 failed runs", self.violations()[0])
 
+    async def deliver_late(self, across):
+        """An order that gets no answer and is carried out after its worker was born anew under its id."""
+        worker = self.workers[0]
+        worker.late_share, worker.late_across = 1.0, across
+        order = {"task": f"{JOB}.0.0.0", "attempt": 1, "spec": self.spec, "untilMs": 10**9, "fencingToken": 1}
+        headers = {"x-wigeonkeel-expect-instance": worker.name}
+        with mock.patch.object(worker.rng, "uniform", return_value=0.02):
+            await worker.take("POST", "/v1/run-start", headers, json.dumps(order))
+        worker.crash()
+        worker.be_born()
+        worker.born += 1
+        await asyncio.sleep(0.05)
+        return list(worker.runs)
+
+    async def test_late_orders_end_with_the_life_of_their_worker(self):
+        self.assertEqual(await self.deliver_late(False), [])
+
+    async def test_late_orders_across_restarts_reach_the_next_life(self):
+        self.assertEqual(await self.deliver_late(True), [f"{JOB}.0.0.0"])
+
 
 class LinkTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -186,3 +186,23 @@
     if not planned:
         await asyncio.sleep(pause)
         await new.start()
+
+
+async def late_orders_across_restarts(soak, rng):
+    """Orders without an answer are carried out seconds later, by the next life of the worker under the same id."""
+    workers = busy_first(rng, soak.workers)[:rng.randint(1, 3)]
+    begin, down, seconds = rng.uniform(0.3, 2.0), rng.uniform(0.01, 0.3), rng.uniform(1.0, 4.0)
+    soak.note(f"orders late across restarts: {' '.join(worker.name for worker in workers)}")
+    for worker in workers:
+        worker.late_share, worker.late_across = 0.5, True
+    await asyncio.sleep(begin)
+    for worker in workers:
+        worker.crash()
+    await asyncio.sleep(down)
+    for worker in workers:
+        worker.crash()
+        worker.be_born()
+        worker.beat()
+    await asyncio.sleep(seconds)
+    for worker in workers:
+        worker.late_share, worker.late_across = 0.0, False
