--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -10,6 +10,7 @@
 import asyncio
 import base64
 import json
+import math
 import pathlib
 import random
 import signal
@@ -151,6 +152,7 @@
         self.version = 1
         self.tasks = []
         self.pending = []
+        self.faults_ended = math.inf
         self.events = []
         self.daemons = []
         # Those that were replaced are among these.
@@ -250,7 +252,7 @@
             if await self.submit(rng, connections, queue, job, body, seen):
                 if rng.random() < 0.05:
                     await self.cancel(rng, connections, queue, job, seen)
-                await self.follow(rng, connections, queue, job, seen, until + RECOVERY_S)
+                await self.follow(rng, connections, queue, job, seen)
             await asyncio.sleep(rng.uniform(0, 0.3))
         for connection in connections.values():
             connection.close()
@@ -293,8 +295,8 @@
         seen["cancelled"] = True
         await self.call(rng, connections, "DELETE", f"/{queue}/{job}", None)
 
-    async def follow(self, rng, connections, queue, job, seen, until):
-        while now() < until and seen["state"] not in ("done", "failed", "cancelled"):
+    async def follow(self, rng, connections, queue, job, seen):
+        while now() < self.faults_ended + RECOVERY_S and seen["state"] not in ("done", "failed", "cancelled"):
             status, content = await self.call(rng, connections, "GET", f"/{queue}/{job}", None)
             if status in (200, 410):
                 seen["states"].append(status)
@@ -446,6 +448,7 @@
             await asyncio.sleep(self.rng.choice((0.0, 0.3, 1.0, 2.0)))
         await asyncio.gather(*running)
         await asyncio.gather(*self.pending)
+        self.faults_ended = now()
 
     # --- the whole ---
 
