--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -33,6 +33,7 @@
 enum class ClaimPhase : std::uint8_t {
     Following,
     ReadingControl,
+    EndingFormerLease,
     OpeningLease,
     WritingClaim,
     LoadingJobs,
@@ -45,6 +46,7 @@
 enum class StorePurpose : std::uint8_t {
     ControlPoll,
     ClaimControl,
+    ClaimEndFormerLease,
     ClaimLease,
     ClaimWrite,
     LoadJobs,
@@ -89,15 +91,20 @@
     MonotonicTime claimFailedAt{};
     /// Earliest time at which this daemon hands leadership over to one on a larger VM.
     MonotonicTime nextHandover{};
+    /// The lease of the claim that this daemon replaces, once it has requested its end.
+    std::uint64_t formerLease = 0;
     // This daemon's own claim:
     std::uint64_t lease = 0;
     /// Revision of the term key after this daemon last wrote its claim.
     std::uint64_t term = 0;
-    MonotonicTime keepAliveConfirmedAt{};
+    /// When the lease of the claim was last requested from the store, which counts the lease from a later time.
+    MonotonicTime leaseRequestedAt{};
     MonotonicTime nextKeepAlive{};
     MonotonicTime keepAliveSentAt{};
     bool keepAliveOpen = false;
     bool reclaiming = false;
+    /// The claim is not known to be written under the current lease, so that keep-alives of the lease don't confirm it.
+    bool claimUnwritten = false;
     MonotonicTime nextTokenTry{};
     std::vector<StoreItem> control;
     std::string loadAfter;
@@ -111,7 +118,8 @@
 {
     std::string name;
     std::int64_t cpuMilli = 0;
-    /// Whether the most recent list contains this daemon, and when a list last did.
+    /// Whether the most recent list contains this daemon, and when a list last did or, if none does, when its
+    /// connection ended.
     bool listed = true;
     MonotonicTime listedAt{};
 };
@@ -165,7 +173,20 @@
 {
     std::int64_t cpuMilli = 0;
     bool storeFailing = false;
-    MonotonicTime presenceReceivedAt{};
+    /// Number of its last presence message, which is echoed to it.
+    std::uint64_t presenceNumber = 0;
+    /// Newest presence number that this daemon had sent when the peer last reported that it reaches the store. Reports
+    /// that echo no higher number may be older than that one.
+    std::uint64_t storeReachedNumber = 0;
+    /// When this daemon sent what the newest report of a failing store echoes; the report was made after this. The
+    /// arrival proves nothing: a message may wait in a socket for seconds. Empty if there is no such report.
+    std::optional<MonotonicTime> storeFailingAfter;
+};
+
+struct PresenceSent
+{
+    std::uint64_t number = 0;
+    MonotonicTime at{};
 };
 
 struct WorkerPoll
@@ -181,6 +202,8 @@
     NodeOptions options;
     Outbox outbox;
     RandomState random;
+    /// Distinguishes this process from others of the same name; drawn by the first tick.
+    std::uint64_t identity = 0;
     Configuration configuration;
     bool hasConfiguration = false;
     ConfigWatch configWatch;
@@ -198,6 +221,9 @@
     /// By name; of connected daemons.
     std::map<std::string, PeerState, std::less<>> peers;
     MonotonicTime nextPresence{};
+    /// The presence messages that this daemon sent recently, oldest first.
+    std::vector<PresenceSent> presencesSent;
+    std::uint64_t presenceNumber = 0;
     bool ready = false;
     /// The state that this daemon, as the leader, last reported to its followers.
     bool storeFailing = false;
@@ -244,7 +270,7 @@
 /// A message from the connected leader arrived recently. Such a leader may still rewrite a claim that is missing.
 bool isLeaderResponsive(const Leadership &leadership, Now now);
 
-/// The state that this daemon reports to the others.
+/// The state that this daemon reports to the others, without a number.
 Presence presenceOf(const Node &node);
 
 } // namespace wigeonkeel::dispatch
--- a/core/dispatch/placement.cpp
+++ b/core/dispatch/placement.cpp
@@ -77,22 +77,32 @@
     return rank;
 }
 
-void addReadySteps(Dispatcher &dispatcher, Job &job, MonotonicTime now, std::vector<ReadyStep> &ready)
+bool hasReadyTasks(const StepRun &step, MonotonicTime now)
+{
+    return step.open && step.waiting > 0 && step.notBefore <= now && !step.gangAborting;
+}
+
+ReadyStep readyStepOf(const Dispatcher &dispatcher, Job &job, const StepKey &key, StepRun &step, MonotonicTime now)
 {
     const QueueConfig &queue = queueOf(dispatcher, job);
+    return {.key = key,
+        .job = &job,
+        .spec = &job.record.spec.steps[key.step],
+        .step = &step,
+        .queue = &queue,
+        .rank = rankOf(job, queue, now),
+        .dueBy = job.dueBy};
+}
+
+void addReadySteps(Dispatcher &dispatcher, Job &job, MonotonicTime now, std::vector<ReadyStep> &ready)
+{
     for (Occurrence &occurrence : job.occurrences) {
         for (std::uint32_t number = 0; number < occurrence.steps.size(); ++number) {
             StepRun &step = occurrence.steps[number];
-            if (!step.open || step.waiting == 0 || step.notBefore > now || step.gangAborting) {
-                continue;
+            if (hasReadyTasks(step, now)) {
+                const StepKey key{.job = job.record.id, .occurrence = occurrence.number, .step = number};
+                ready.push_back(readyStepOf(dispatcher, job, key, step, now));
             }
-            ready.push_back({.key = {.job = job.record.id, .occurrence = occurrence.number, .step = number},
-                .job = &job,
-                .spec = &job.record.spec.steps[number],
-                .step = &step,
-                .queue = &queue,
-                .rank = rankOf(job, queue, now),
-                .dueBy = job.dueBy});
         }
     }
 }
@@ -153,7 +163,6 @@
     }
     const AdviceTimes &times = *ready.queue->advice;
     ready.step->adviceOpen = true;
-    ++dispatcher.counters.adviceRequests;
     const auto expectedTime = times.base + times.perWorker * static_cast<int>(workers.size());
     dispatcher.advisor.waiting.push_back({.step = ready.key,
         .workers = std::move(workers),
@@ -265,7 +274,8 @@
 {
     return now < ready.step->planUntil && std::ranges::all_of(ready.step->plan, [&](const PlannedPlace &planned) {
         return canAcceptStarts(dispatcher.workers.workers[planned.worker], now) && isAllowed(ready, planned.worker)
-            && ready.step->tasks[planned.task].phase == TaskPhase::Waiting;
+            && ready.step->tasks[planned.task].phase == TaskPhase::Waiting
+            && ready.step->tasks[planned.task].unknownRuns == 0;
     });
 }
 
@@ -278,10 +288,10 @@
     return std::chrono::ceil<milliseconds>(expectedTime);
 }
 
-/// Renews the tickets of the planned workers; true if all of them are valid now. Tickets that would expire before the
-/// reply arrives are renewed too. Otherwise a gang's tickets could expire one after the other and never be valid
-/// together.
-bool renewPlannedTickets(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
+/// Renews the tickets of the planned workers; true if all of them are valid at the time of use. Tickets that would
+/// expire before the reply arrives are renewed too. Otherwise a gang's tickets could expire one after the other and
+/// never be valid together.
+bool renewPlannedTickets(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now, MonotonicTime usedAt)
 {
     std::vector<WorkerSlot> planned;
     for (const PlannedPlace &place : ready.step->plan) {
@@ -289,12 +299,13 @@
             planned.push_back(place.worker);
         }
     }
-    const auto isGood = [&](WorkerSlot slot) { return hasTicket(dispatcher, ready, slot, now); };
+    const auto isGood = [&](WorkerSlot slot) { return hasTicket(dispatcher, ready, slot, usedAt); };
     if (std::ranges::all_of(planned, isGood)) {
         return true;
     }
     const milliseconds wait = adviceTime(ready, planned.size()) + ticketRenewalMargin;
-    std::erase_if(planned, [&](WorkerSlot slot) { return hasTicket(dispatcher, ready, slot, now + wait); });
+    const MonotonicTime renewedBy = std::max(usedAt, now + wait);
+    std::erase_if(planned, [&](WorkerSlot slot) { return hasTicket(dispatcher, ready, slot, renewedBy); });
     if (!ready.step->adviceOpen) {
         ready.step->planUntil = std::max(ready.step->planUntil, now + wait + planSlack);
     }
@@ -344,7 +355,23 @@
     return room;
 }
 
+/// Workers of the plan whose tickets expire before the given time.
+std::vector<WorkerSlot> workersWithoutTicket(
+    const Dispatcher &dispatcher, const ReadyStep &ready, std::span<const PlannedPlace> plan, MonotonicTime usedAt)
+{
+    std::vector<WorkerSlot> without;
+    for (const PlannedPlace &place : plan) {
+        if (!hasTicket(dispatcher, ready, place.worker, usedAt)
+            && std::ranges::find(without, place.worker) == without.end()) {
+            without.push_back(place.worker);
+        }
+    }
+    return without;
+}
+
 /// Stops runs so that the planned tasks fit, and reserves the room. False without a change if the room can't be freed.
+/// If tickets have to be renewed, runs are stopped only once the request is sent: while it waited in a long line, the
+/// plan would expire and the work of the stopped runs would be lost for nothing.
 bool preemptForPlan(
     Dispatcher &dispatcher, const ReadyStep &ready, std::span<const PlannedPlace> plan, MonotonicTime now)
 {
@@ -362,6 +389,12 @@
             victims.emplace_back(slot, key);
         }
     }
+    const MonotonicTime usedAt = now + dispatcher.bounds.stopTime;
+    std::vector<WorkerSlot> withoutTicket = workersWithoutTicket(dispatcher, ready, plan, usedAt);
+    if (!withoutTicket.empty() && !ready.isAdviceNext) {
+        requestAdvice(dispatcher, ready, std::move(withoutTicket), now);
+        return true;
+    }
     const milliseconds wait = dispatcher.bounds.stopTime + planSlack + adviceTime(ready, needed.size());
     reserve(dispatcher, ready, plan, now + wait);
     for (const auto &[slot, key] : victims) {
@@ -370,19 +403,22 @@
             dispatcher.workers.workers[slot].entry.id, formatStepKey(ready.key), ready.rank);
         stopRun(dispatcher, slot, key, now);
     }
+    renewPlannedTickets(dispatcher, ready, now, usedAt);
     return true;
 }
 
 void placeWholeGang(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
 {
-    if (ready.step->waiting != ready.step->tasks.size()) {
+    const bool hasUnknownRuns
+        = std::ranges::any_of(ready.step->tasks, [](const Task &task) { return task.unknownRuns > 0; });
+    if (ready.step->waiting != ready.step->tasks.size() || hasUnknownRuns) {
         return;
     }
     if (!ready.step->plan.empty()) {
         if (!isPlanValid(dispatcher, ready, now)) {
             dropPlan(dispatcher, *ready.spec, *ready.step);
         } else {
-            const bool tickets = renewPlannedTickets(dispatcher, ready, now);
+            const bool tickets = renewPlannedTickets(dispatcher, ready, now, now);
             const bool free = std::ranges::all_of(ready.step->plan,
                 [&](const PlannedPlace &planned) { return isPlannedRoomFree(dispatcher, ready, planned); });
             if (tickets && free) {
@@ -394,7 +430,7 @@
     auto plan = placeGang(dispatcher, ready, roomOfWorkers(dispatcher), now);
     if (plan) {
         reserve(dispatcher, ready, *plan, now + planSlack + adviceTime(ready, ready.step->tasks.size()) * 2);
-        if (renewPlannedTickets(dispatcher, ready, now)) {
+        if (renewPlannedTickets(dispatcher, ready, now, now)) {
             startPlan(dispatcher, ready, now);
         }
         return;
@@ -458,7 +494,7 @@
         dropPlan(dispatcher, *ready.spec, *ready.step);
         return;
     }
-    renewPlannedTickets(dispatcher, ready, now);
+    renewPlannedTickets(dispatcher, ready, now, now);
     std::vector<PlannedPlace> left;
     const std::vector<PlannedPlace> plan = ready.step->plan;
     for (const PlannedPlace &planned : plan) {
@@ -475,6 +511,11 @@
     ready.step->plan = std::move(left);
 }
 
+bool isStartable(const Task &task, MonotonicTime now)
+{
+    return task.phase == TaskPhase::Waiting && task.notBefore <= now && task.unknownRuns == 0;
+}
+
 bool isPlanned(const StepRun &step, std::uint32_t index)
 {
     return std::ranges::find(step.plan, index, &PlannedPlace::task) != step.plan.end();
@@ -497,7 +538,7 @@
     bool noRoom = false;
     for (std::uint32_t index = 0; index < ready.step->tasks.size(); ++index) {
         Task &task = ready.step->tasks[index];
-        if (task.phase != TaskPhase::Waiting || task.notBefore > now || isPlanned(*ready.step, index)) {
+        if (!isStartable(task, now) || isPlanned(*ready.step, index)) {
             continue;
         }
         const SinglePlace found = chooseSingle(dispatcher, ready, task, room, now);
@@ -526,8 +567,7 @@
     }
     for (std::uint32_t index = 0; index < ready.step->tasks.size(); ++index) {
         const Task &task = ready.step->tasks[index];
-        if (task.phase == TaskPhase::Waiting && task.notBefore <= now && !isPlanned(*ready.step, index)
-            && !preemptForOne(dispatcher, ready, index, now)) {
+        if (isStartable(task, now) && !isPlanned(*ready.step, index) && !preemptForOne(dispatcher, ready, index, now)) {
             break;
         }
     }
@@ -663,6 +703,60 @@
     return fits(needed, room) ? std::optional(std::move(victims)) : std::nullopt;
 }
 
+namespace
+{
+
+/// Starts the step's tasks that can start, and requests the advice that it lacks.
+void placeStep(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
+{
+    if (needsTicket(ready) && ready.step->allowed.empty()) {
+        requestMoreAdvice(dispatcher, ready, now);
+    } else if (ready.spec->gang) {
+        placeWholeGang(dispatcher, ready, now);
+    } else {
+        placeSingles(dispatcher, ready, now);
+    }
+}
+
+/// Whether no task of the step can start before the reply to its open advice request. Such steps don't count as
+/// blocked: a line of them must not end the pass before the steps that could start.
+bool awaitsAdvice(const Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
+{
+    return needsTicket(ready) && ready.step->adviceOpen && ready.step->plan.empty()
+        && std::ranges::none_of(
+            ready.step->allowed, [&](const auto &entry) { return hasTicket(dispatcher, ready, entry.first, now); });
+}
+
+/// Replaces a request whose turn has come by what its step lacks now. While it waited, the places that it was meant for
+/// may have been taken; a call for them would be wasted, and the step would wait in the line again.
+bool prepareAdvice(Dispatcher &dispatcher, AdviceRequest &request, MonotonicTime now)
+{
+    Job *job = findJob(dispatcher.jobs, request.step.job);
+    StepRun *step = job == nullptr || isEnded(job->state) ? nullptr : findStep(*job, request.step);
+    if (step == nullptr) {
+        return false;
+    }
+    step->adviceOpen = false;
+    if (!hasReadyTasks(*step, now)) {
+        return false;
+    }
+    ReadyStep ready = readyStepOf(dispatcher, *job, request.step, *step, now);
+    ready.isAdviceNext = true;
+    placeStep(dispatcher, ready, now);
+    if (!step->adviceOpen) {
+        return false;
+    }
+    AdviceRequest current = std::move(dispatcher.advisor.waiting.back());
+    dispatcher.advisor.waiting.pop_back();
+    current.queuedAt = request.queuedAt;
+    current.tries = request.tries;
+    request = std::move(current);
+    ++dispatcher.counters.adviceRequests;
+    return true;
+}
+
+} // namespace
+
 void handleAdviceReply(Dispatcher &dispatcher, const AdviceReply &reply, MonotonicTime now)
 {
     auto open = closeAdviceRequest(dispatcher.advisor, reply, now);
@@ -701,9 +795,11 @@
     }
     step->adviceRetryAt = reply.allowed.empty() ? now + adviceRetryDelay : now;
     recordAllowedShare(dispatcher.advisor, job->record.queue.name, newCount, newlyAllowed);
-    logLine(LogLevel::Info, logPart, "Advice received. step={} asked={} allowed={} waited_ms={}",
+    logLine(LogLevel::Info, logPart,
+        "Advice received. step={} asked={} allowed={} waited_ms={} call_ms={} requests_waiting={}",
         formatStepKey(open->request.step), open->request.workers.size(), reply.allowed.size(),
-        std::chrono::floor<milliseconds>(now - open->request.queuedAt).count());
+        std::chrono::floor<milliseconds>(now - open->request.queuedAt).count(),
+        std::chrono::floor<milliseconds>(now - open->sentAt).count(), dispatcher.advisor.waiting.size());
     observe(dispatcher, DurationKind::Advice, now - open->request.queuedAt);
     dispatcher.placementDue = true;
 }
@@ -722,14 +818,12 @@
             break;
         }
         const std::uint32_t waiting = ready.step->waiting;
-        if (needsTicket(ready) && ready.step->allowed.empty()) {
-            requestMoreAdvice(dispatcher, ready, now);
+        if (awaitsAdvice(dispatcher, ready, now)) {
             continue;
         }
-        if (ready.spec->gang) {
-            placeWholeGang(dispatcher, ready, now);
-        } else {
-            placeSingles(dispatcher, ready, now);
+        placeStep(dispatcher, ready, now);
+        if (needsTicket(ready) && ready.step->allowed.empty()) {
+            continue;
         }
         blocked += ready.step->waiting == waiting ? 1 : 0;
         if (blocked >= maxBlockedSteps) {
@@ -739,7 +833,8 @@
     // A step that finds no room examines every worker. The time between passes limits them to a fifth of a core.
     const auto spacing = timePerExaminedWorker * static_cast<int>(blocked * dispatcher.workers.workers.size());
     dispatcher.nextPlacement = now + std::max(minPassSpacing, std::chrono::ceil<milliseconds>(spacing));
-    sendWaitingRequests(dispatcher.advisor, dispatcher.workers, *dispatcher.outbox, now);
+    const auto prepare = [&dispatcher, now](AdviceRequest &request) { return prepareAdvice(dispatcher, request, now); };
+    sendWaitingRequests(dispatcher.advisor, dispatcher.workers, *dispatcher.outbox, now, prepare);
 }
 
 } // namespace wigeonkeel::dispatch
--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -18,7 +18,6 @@
 /// Timeout of calls that get no answer.
 constexpr milliseconds callTimeout{700};
 constexpr milliseconds workStep{10};
-constexpr milliseconds stopTime{200};
 constexpr milliseconds adviceValidity{1500};
 /// Part of an advice request's timeout that exceeds the adviser's expected time.
 constexpr milliseconds adviceSlack{500};
@@ -290,7 +289,7 @@
             result.morePages = true;
             break;
         }
-        result.items.push_back({.key = key, .value = item.value, .revision = item.revision});
+        result.items.push_back({.key = key, .value = item.value, .revision = item.revision, .lease = item.lease});
     }
     return result;
 }
@@ -332,6 +331,13 @@
     return listsOf(worker, renewal.call);
 }
 
+bool World::needsTicket(JobId id)
+{
+    Node *leading = leader();
+    const Job *job = leading == nullptr ? nullptr : findJob(leading->dispatcher->jobs, id);
+    return job == nullptr || job->record.queue.advice.has_value();
+}
+
 OrderReply World::start(const StartRun &order)
 {
     WorldWorker &target = workers[workerIndex(order.worker.id)];
@@ -351,7 +357,7 @@
     if (stopped != target.stoppedAttempts.end() && order.attempt <= stopped->second) {
         return refuse(StartRefusal::OldAttempt);
     }
-    if (adviceTakesTime && ticketEnds[order.ticket] < time) {
+    if (adviceTakesTime && needsTicket(order.task.step.job) && ticketEnds[order.ticket] < time) {
         return refuse(StartRefusal::Ticket);
     }
     if (order.leaseUntil.time_since_epoch() < time) {
@@ -398,7 +404,7 @@
     }
     target.token = order.fencingToken;
     target.stoppedAttempts[order.task] = std::max(target.stoppedAttempts[order.task], order.attempt);
-    after(stopTime, [this, index, order] {
+    after(target.stopTime, [this, index, order] {
         WorldWorker &worker = workers[index];
         for (std::size_t i = 0; i < worker.runs.size(); ++i) {
             if (worker.runs[i].task == order.task && worker.runs[i].attempt == order.attempt) {
@@ -474,7 +480,7 @@
         after(storeDelay, [this, node, transaction = *transaction] {
             ++store.calls;
             StoreReply result{.call = transaction.call, .status = CallStatus::Refused, .items = {}};
-            if (store.unresponsive || !isRefused(node)) {
+            if (store.unresponsive || (!isRefused(node) && !store.refusedWriters.contains(node))) {
                 if (!store.unresponsive) {
                     result = transact(transaction);
                 }
@@ -520,7 +526,18 @@
         };
         storeReply(make, keep->timeout);
     } else if (const auto *end = std::get_if<StoreEndLease>(&action)) {
-        store.leases[end->lease].first = time;
+        const auto make = [this, end = *end](CallStatus status) {
+            const auto found = store.leases.find(end.lease);
+            StoreReply result{.call = end.call, .status = status, .items = {}};
+            if (status == CallStatus::Ok && found == store.leases.end()) {
+                result.status = CallStatus::NotFound;
+            } else if (status == CallStatus::Ok) {
+                found->second.first = time;
+                expireLeases();
+            }
+            return [result](Node &owner, Now at) { handleStoreReply(owner, result, at); };
+        };
+        storeReply(make, callTimeout);
     } else if (const auto *read = std::get_if<ReadConfiguration>(&action)) {
         ++store.configurationReads;
         after(store.slowLinks.contains(node) ? slowTransfer : milliseconds(0), [this, node, id = read->call] {
@@ -618,6 +635,7 @@
             });
         });
     } else if (const auto *request = std::get_if<RequestAdvice>(&action)) {
+        adviceCalls.push_back(*request);
         const milliseconds takes = adviceTakesTime ? request->timeout - adviceSlack : milliseconds(0);
         after(takes, [this, node, request = *request] {
             reply(node, [result = advise(request)](Node &owner, Now at) { handleAdviceReply(owner, result, at); });
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -42,6 +42,8 @@
     bool failsAll = false;
     /// Runs make no progress.
     bool stalled = false;
+    /// Time that a stop takes.
+    milliseconds stopTime{200};
     /// Daemons whose links to the worker are cut.
     std::set<std::size_t> unreachableFrom;
     std::uint64_t token = 0;
@@ -72,6 +74,8 @@
     bool unresponsive = false;
     /// Daemons whose calls the store refuses.
     std::set<std::size_t> refusedNodes;
+    /// Daemons whose transactions alone the store refuses, as it does above its rate of writes.
+    std::set<std::size_t> refusedWriters;
     /// Percentage of transactions that are carried out but not answered.
     std::uint64_t lostReplyPercent = 0;
     std::size_t calls = 0;
@@ -148,6 +152,7 @@
     /// ticket are refused.
     bool adviceTakesTime = false;
     std::map<std::string, milliseconds> ticketEnds;
+    std::vector<RequestAdvice> adviceCalls;
     std::map<CallId, ClientAnswer> answers;
     std::map<TaskKey, std::uint32_t> failedRuns;
     std::set<TaskKey> doneTasks;
@@ -176,6 +181,8 @@
     void deliver(std::size_t node, const Node *caller, std::function<void(Node &, Now)> handle);
     StoreReply transact(const StoreTransaction &transaction);
     StoreReply range(const StoreRange &range) const;
+    /// True if the job is unknown.
+    bool needsTicket(JobId id);
     OrderReply start(const StartRun &order);
     OrderReply stop(const StopRun &order);
     std::optional<RenewReply> renew(std::size_t worker, const RenewWorker &renewal);
