dispatch: attempt numbers of a new leader begin at its token

What callers see: two runs of a task, or of a gang's members, under one attempt number. Workers group the members of a gang by that number, so a gang can be left waiting until it is stopped as stalled; and an end may be taken for that of the other run.

Cause: a new leader skipped eight numbers above the recorded one, and stored nothing of the ninth until a run ended. If it was lost before, the next leader skipped the same eight.

Evidence: LeadersInARowDoNotReuseAnAttemptNumber failed before (the third leader used the second one's number).

Why it works: tokens rise with each claim, by more than the starts of one task under one leader, so the numbers of a leader lie above those of all former ones.

Late orders for a former incarnation may extend the lease until the worker has answered to the raised token, so the longest lease is assumed until then.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -526,17 +526,21 @@
 namespace
 {
 
-/// Skips attempt numbers that a former leader may have used without a record, so that its late runs are not mistaken
-/// for new ones.
-void skipAttempts(Job &job)
+/// Raises the attempt numbers of waiting tasks to this leader's token: each leader's numbers then lie above those of
+/// all former leaders, whose last starts may not be recorded. A number that is used again would mix up two runs.
+void raiseAttempts(Job &job, std::uint64_t token)
 {
-    constexpr std::uint32_t skippedAttempts = 8;
+    const auto least = static_cast<std::uint32_t>(std::min<std::uint64_t>(token, UINT32_MAX / 2));
     for (Occurrence &occurrence : job.occurrences) {
         for (StepRun &step : occurrence.steps) {
             // A running gang keeps its number, which identifies the ends of its members.
-            step.gangAttempt += step.waiting == step.remaining ? skippedAttempts : 0;
+            if (step.waiting == step.remaining) {
+                step.gangAttempt = std::max(step.gangAttempt, least);
+            }
             for (Task &task : step.tasks) {
-                task.attempt += task.phase == TaskPhase::Waiting ? skippedAttempts : 0;
+                if (task.phase == TaskPhase::Waiting) {
+                    task.attempt = std::max(task.attempt, least);
+                }
             }
         }
     }
@@ -561,7 +565,7 @@
         }
         for (auto &[id, job] : dispatcher.jobs.live) {
             if (job->inherited) {
-                skipAttempts(*job);
+                raiseAttempts(*job, dispatcher.token);
             }
         }
         logLine(LogLevel::Info, logPart,
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -635,7 +635,7 @@
         // The new incarnation may have another capacity; no starts until the directory shows it.
         worker.listed = false;
     }
-    if (!worker.contacted) {
+    if (!worker.contacted || hasLateOrders(worker)) {
         // A former leader, or an order that was meant for a former incarnation, may have extended the lease.
         worker.requestedLease = std::max(worker.requestedLease, reply.clock + dispatcher.bounds.maxWorkerLease);
     }
