--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -80,6 +80,8 @@
     /// While the worker is down, calls are refused at once instead of staying unanswered.
     bool refusesWhileDown = false;
     milliseconds downSince{0};
+    /// Each order and each reply takes up to this much longer, so that they may overtake each other.
+    milliseconds latency{0};
     /// When the worker's clock began, and its rate.
     milliseconds clockStart{0};
     double clockRate = 1.0;
@@ -268,6 +270,11 @@
     bool isOrderLate();
     void carryOutLate(const WorkerTarget &target, std::function<void()> act);
     Link linkTo(std::size_t node, const WorldWorker &worker) const;
+    milliseconds drawLatency(const WorldWorker &worker);
+    /// The link at the time at which an order arrives that was sent to `life` and took `delay`.
+    Link linkAtArrival(std::size_t node, std::size_t worker, const WorkerLife &life, milliseconds delay) const;
+    void carryOutOrder(std::size_t node, const WorkerTarget &target, milliseconds delay, milliseconds timeout,
+        CallId call, std::function<OrderReply()> act);
     void flush(std::size_t node);
     void advanceWorkers(milliseconds step);
     void advanceGangs(milliseconds step);
--- a/tests/dispatch/dispatch_world_calls.cpp
+++ b/tests/dispatch/dispatch_world_calls.cpp
@@ -208,43 +208,53 @@
     });
 }
 
-void World::carryOut(std::size_t node, const StartRun &order)
+milliseconds World::drawLatency(const WorldWorker &worker)
+{
+    const auto most = static_cast<std::uint64_t>(worker.latency.count());
+    return milliseconds(most == 0 ? 0 : randomBelow(random, most));
+}
+
+World::Link World::linkAtArrival(std::size_t node, std::size_t worker, const WorkerLife &life, milliseconds delay) const
+{
+    const bool restarted = delay.count() > 0 && lifeOf(workers[worker]) != life;
+    return restarted && !rules.lateOrdersReachNextIncarnation ? Link::Cut : linkTo(node, workers[worker]);
+}
+
+void World::carryOutOrder(std::size_t node, const WorkerTarget &target, milliseconds delay, milliseconds timeout,
+    CallId call, std::function<OrderReply()> act)
 {
-    OrderReply unanswered{.call = order.call, .status = CallStatus::Unknown};
-    if (linkTo(node, workers[workerIndex(order.worker.id)]) == Link::Open && isOrderLate()) {
-        carryOutLate(order.worker, [this, order] { start(order); });
-        replyToOrder(node, order.timeout, unanswered);
+    const std::size_t worker = workerIndex(target.id);
+    OrderReply unanswered{.call = call, .status = CallStatus::Unknown};
+    if (linkTo(node, workers[worker]) == Link::Open && isOrderLate()) {
+        carryOutLate(target, [act = std::move(act)] { act(); });
+        replyToOrder(node, timeout, unanswered);
         return;
     }
-    if (startDelay > order.timeout) {
-        replyToOrder(node, order.timeout, unanswered);
+    const milliseconds there = drawLatency(workers[worker]);
+    const milliseconds back = drawLatency(workers[worker]);
+    if (delay + there + back > timeout) {
+        replyToOrder(node, timeout, unanswered);
     }
-    after(networkDelay + startDelay, [this, node, order, unanswered]() mutable {
-        const Link link = linkTo(node, workers[workerIndex(order.worker.id)]);
+    const WorkerLife life = lifeOf(workers[worker]);
+    after(networkDelay + delay + there, [=, this]() mutable {
+        const Link link = linkAtArrival(node, worker, life, there);
         if (link == Link::Refused) {
             unanswered.status = CallStatus::Unreachable;
         }
         const bool timesOut = link == Link::Cut && rules.ownClocks;
-        replyToOrder(node, timesOut ? order.timeout : milliseconds(0), link == Link::Open ? start(order) : unanswered);
+        replyToOrder(node, timesOut ? timeout : back, link == Link::Open ? act() : unanswered);
     });
 }
 
+void World::carryOut(std::size_t node, const StartRun &order)
+{
+    carryOutOrder(node, order.worker, startDelay, order.timeout, order.call, [this, order] { return start(order); });
+}
+
 void World::carryOut(std::size_t node, const StopRun &order)
 {
-    OrderReply unanswered{.call = order.call, .status = CallStatus::Unknown};
-    if (linkTo(node, workers[workerIndex(order.worker.id)]) == Link::Open && isOrderLate()) {
-        carryOutLate(order.worker, [this, order] { stop(order); });
-        replyToOrder(node, order.timeout, unanswered);
-        return;
-    }
-    after(networkDelay, [this, node, order, unanswered]() mutable {
-        const Link link = linkTo(node, workers[workerIndex(order.worker.id)]);
-        if (link == Link::Refused) {
-            unanswered.status = CallStatus::Unreachable;
-        }
-        const bool timesOut = link == Link::Cut && rules.ownClocks;
-        replyToOrder(node, timesOut ? order.timeout : milliseconds(0), link == Link::Open ? stop(order) : unanswered);
-    });
+    carryOutOrder(
+        node, order.worker, milliseconds(0), order.timeout, order.call, [this, order] { return stop(order); });
 }
 
 void World::failRenewal(std::size_t node, milliseconds delay, CallId call, CallStatus status)
@@ -267,8 +277,14 @@
     if (late) {
         carryOutLate(renewal.worker, [this, worker, renewal] { renew(worker, renewal); });
     }
-    after(networkDelay, [this, node, worker, lost = late || delayed, renewal] {
-        const Link link = linkTo(node, workers[worker]);
+    const milliseconds there = drawLatency(workers[worker]);
+    const milliseconds back = drawLatency(workers[worker]);
+    if (there + back > renewal.timeout) {
+        failRenewal(node, renewal.timeout, renewal.call, CallStatus::Unknown);
+    }
+    const WorkerLife life = lifeOf(workers[worker]);
+    after(networkDelay + there, [this, node, worker, life, there, back, lost = late || delayed, renewal] {
+        const Link link = linkAtArrival(node, worker, life, there);
         if (link == Link::Refused && !lost) {
             failRenewal(node, milliseconds(0), renewal.call, CallStatus::Unreachable);
             return;
@@ -283,7 +299,9 @@
         }
         const auto lists = renew(worker, renewal);
         if (lists) {
-            reply(node, [lists = *lists](Node &owner, Now at) { handleRenewReply(owner, lists, at); });
+            after(back, [this, node, lists = *lists] {
+                reply(node, [lists](Node &owner, Now at) { handleRenewReply(owner, lists, at); });
+            });
             return;
         }
         workers[worker].waitingRenewals.emplace_back(nodes[node].up ? nodes[node].node->options.name : "", renewal);
--- a/tests/dispatch/dispatch_world_workers.cpp
+++ b/tests/dispatch/dispatch_world_workers.cpp
@@ -74,6 +74,7 @@
     target = {};
     target.entry = entry;
     ++target.entry.incarnation;
+    target.entry.draining = false;
     beginClock(worker);
 }
 
--- a/tests/dispatch/random_faults.cpp
+++ b/tests/dispatch/random_faults.cpp
@@ -180,6 +180,30 @@
     world.after(fault.length, [&world, member] { world.store.*member = false; });
 }
 
+void slowWorker(World &world, const Fault &fault)
+{
+    const std::size_t worker = workerOf(world, fault);
+    world.workers[worker].latency = milliseconds(20 + (fault.pick >> 12) % 1500);
+    world.after(fault.length, [&world, worker] { world.workers[worker].latency = {}; });
+}
+
+void drainWorker(World &world, const Fault &fault)
+{
+    const std::size_t worker = workerOf(world, fault);
+    WorkerEntry &entry = world.workers[worker].entry;
+    if (!world.workers[worker].up || entry.draining) {
+        return;
+    }
+    entry.draining = true;
+    entry.leavesIn = fault.length;
+    world.after(fault.length, [&world, worker, incarnation = entry.incarnation] {
+        if (world.workers[worker].up && world.workers[worker].entry.incarnation == incarnation) {
+            world.crashWorker(worker);
+            world.addWorker();
+        }
+    });
+}
+
 milliseconds latencyOf(const Fault &fault)
 {
     return milliseconds(100 + (fault.pick >> 4) % 2900);
@@ -241,6 +265,8 @@
         instant, instant},
     {"worker restarted", [](World &world, const Fault &fault) { crashAndRestart(world, fault, fault.length); }, moment,
         whole},
+    {"worker slow", slowWorker, moment, whole},
+    {"worker drains", drainWorker, moment, whole},
     {"worker silent", [](World &world, const Fault &fault) { setOnWorker(world, fault, &WorldWorker::unresponsive); },
         moment, whole},
     {"worker replies lost",
@@ -280,6 +306,7 @@
     for (std::size_t worker = 0; worker < world.workers.size(); ++worker) {
         WorldWorker &target = world.workers[worker];
         target.unresponsive = false;
+        target.latency = {};
         target.dropsReplies = false;
         target.unlisted = false;
         target.unreachableFrom.clear();
--- a/tests/dispatch/random_plans.cpp
+++ b/tests/dispatch/random_plans.cpp
@@ -27,8 +27,9 @@
 const std::array mixes = std::to_array<FaultMix>({
     {.name = "all", .types = {}},
     {.name = "leaders and links",
-        .types = {"kill daemon", "cut power", "pause daemon", "store silent for one", "store refuses one",
-            "leases revoked", "links refused", "worker refuses all", "links cut", "peer messages dropped"},
+        .types
+        = {"kill daemon", "cut power", "pause daemon", "store silent for one", "store refuses one", "leases revoked",
+            "links refused", "worker refuses all", "links cut", "worker slow", "peer messages dropped"},
         .fewest = 5},
     {.name = "clocks and pauses",
         .types = {"pause daemon", "pause after write", "slow store link", "slow peer link", "store silent",
@@ -41,9 +42,9 @@
         .fewest = 6,
         .closePercent = 80},
     {.name = "workers and orders",
-        .types
-        = {"worker replaced", "worker restarted at once", "worker restarted", "worker silent", "worker replies lost",
-            "worker refuses all", "worker unlisted", "late orders", "kill daemon", "pause daemon", "links refused"},
+        .types = {"worker replaced", "worker restarted at once", "worker restarted", "worker silent",
+            "worker replies lost", "worker refuses all", "worker slow", "worker drains", "worker unlisted",
+            "late orders", "kill daemon", "pause daemon", "links refused"},
         .fewest = 5},
 });
 
