--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -73,6 +73,11 @@
     return {.monotonic = MonotonicTime(time), .wall = WallTime(time)};
 }
 
+Now World::nowAt(std::size_t node) const
+{
+    return {.monotonic = MonotonicTime(time), .wall = WallTime(time) + nodes[node].wallOffset};
+}
+
 void World::after(milliseconds delay, std::function<void()> act)
 {
     m_events.push({.at = time + delay, .order = m_order++, .act = std::move(act)});
@@ -206,12 +211,12 @@
     if (nodes[node].paused || !nodes[node].held.empty()) {
         nodes[node].held.push_back([this, node, caller, handle = std::move(handle)] {
             if (nodes[node].up && nodes[node].node.get() == caller) {
-                handle(*nodes[node].node, now());
+                handle(*nodes[node].node, nowAt(node));
             }
         });
         return;
     }
-    handle(*nodes[node].node, now());
+    handle(*nodes[node].node, nowAt(node));
 }
 
 void World::flush(std::size_t node)
@@ -219,7 +224,7 @@
     if (!nodes[node].up || nodes[node].paused) {
         return;
     }
-    tick(*nodes[node].node, now());
+    tick(*nodes[node].node, nowAt(node));
     for (const Action &action : takeActions(*nodes[node].node)) {
         std::visit([this, node](const auto &each) { carryOut(node, each); }, action);
     }
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -149,6 +149,8 @@
     std::map<std::string, milliseconds> peerArrivals;
     /// Messages of other daemons do not arrive.
     bool dropsPeerMessages = false;
+    /// Added to the daemon's time of day.
+    milliseconds wallOffset{0};
     std::optional<Endpoint> dialled;
     bool connected = false;
     std::string connectedTo;
@@ -197,6 +199,8 @@
     std::size_t leaderIndex() const;
 
     Now now() const;
+    /// The time as the daemon's clocks show it.
+    Now nowAt(std::size_t node) const;
     /// Empty if all guarantees held, such as: no task runs twice, none starts again after it was done, no worker is
     /// over its capacity.
     std::vector<std::string> violations;
