--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -377,13 +377,17 @@
 {
     for (auto &[id, job] : dispatcher.jobs.live) {
         const JobSpec &spec = job->record.spec;
+        const std::uint32_t known = job->nextOccurrence;
         while (spec.repeatCount > job->nextOccurrence && !isEnded(job->state)
             && spec.firstDue + spec.interval * job->nextOccurrence <= now.wall) {
             addOccurrences(*job, job->nextOccurrence);
-            if (job->inherited && dispatcher.runDiscoveryFinished) {
-                raiseAttempts(*job, dispatcher.token);
-            }
-            dispatcher.placementDue = true;
+        }
+        if (job->nextOccurrence == known) {
+            continue;
+        }
+        dispatcher.placementDue = true;
+        if (job->inherited && dispatcher.runDiscoveryFinished) {
+            raiseAttempts(*job, dispatcher.token);
         }
     }
 }
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -210,7 +210,8 @@
         abandonClaim(node, now.monotonic);
         return;
     }
-    if (findItem(reply.items, claimKey) != nullptr) {
+    const StoreItem *claim = findItem(reply.items, claimKey);
+    if (claim != nullptr) {
         const LeaderInfo present = findClaim(reply.items);
         const bool isGone = (leadership.leaderConnectionRefused || leadership.leaderStoreFailing)
             && present.token == leadership.leader.token;
@@ -221,7 +222,7 @@
             return;
         }
     }
-    if (const StoreItem *claim = findItem(reply.items, claimKey); claim != nullptr && claim->lease != 0) {
+    if (claim != nullptr && claim->lease != 0) {
         endFormerLease(node, claim->lease, now.monotonic);
         return;
     }
--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -282,11 +282,12 @@
     if (safe != node.dispatcher->canExtendLeases) {
         node.dispatcher->canExtendLeases = safe;
         node.dispatcher->placementDue = true;
+        const std::string_view mayLead = daemonThatMayLead(node, now);
         logLine(LogLevel::Info, logPart,
             "Leases are {}. token={} claim_confirmed_ms_ago={} may_lead={} its_report_ms_ago={}",
             safe ? "extended again" : "not extended because another daemon may lead", node.dispatcher->token,
-            std::chrono::floor<milliseconds>(now.monotonic - node.dispatcher->claimConfirmedAt).count(),
-            daemonThatMayLead(node, now), reportAge(node, daemonThatMayLead(node, now), now));
+            std::chrono::floor<milliseconds>(now.monotonic - node.dispatcher->claimConfirmedAt).count(), mayLead,
+            reportAge(node, mayLead, now));
     }
 }
 
