tests: one check for violations and one set-up where several tests had their own

checkNoViolations() stood in six files and as a loop in two more, the search for the busy worker in two; they belong to the simulated world now.

--- a/tests/dispatch/claim_freshness_test.cpp
+++ b/tests/dispatch/claim_freshness_test.cpp
@@ -53,6 +53,19 @@
     std::string other;
 };
 
+/// The leader starts two long tasks; the other daemon of two can't reach their workers.
+void startRunsThatTheSuccessorCannotReach(World &world, JobId job)
+{
+    const std::size_t former = world.leaderIndex();
+    world.submit(former, job, {.payload = "p", .steps = {stepOf(2, 1000, milliseconds(15000))}}, "batch");
+    world.run(milliseconds(500));
+    for (WorldWorker &worker : world.workers) {
+        if (!worker.runs.empty()) {
+            worker.unreachableFrom.insert(former == 0 ? 1 : 0);
+        }
+    }
+}
+
 } // namespace
 
 TEST_GROUP(DispatchClaimFreshness){};
@@ -252,13 +265,7 @@
     world.run(settleTime);
     const std::size_t former = world.leaderIndex();
     const std::size_t successor = former == 0 ? 1 : 0;
-    world.submit(former, 0xe1, {.payload = "p", .steps = {stepOf(2, 1000, milliseconds(15000))}}, "batch");
-    world.run(milliseconds(500));
-    for (WorldWorker &worker : world.workers) {
-        if (!worker.runs.empty()) {
-            worker.unreachableFrom.insert(successor);
-        }
-    }
+    startRunsThatTheSuccessorCannotReach(world, 0xe1);
     world.store.refusedWriters.insert(former);
     world.submit(former, 0xe2, {.payload = "p", .steps = {stepOf(1, 1000, milliseconds(300))}}, "batch");
     const Leadership &leadership = world.nodes[successor].node->leadership;
@@ -270,9 +277,7 @@
     world.nodes[successor].dropsPeerMessages = true;
     world.run(milliseconds(9000));
     CHECK_EQUAL(successor, world.leaderIndex());
-    for (const std::string &violation : world.violations) {
-        FAIL(violation.c_str());
-    }
+    checkNoViolations(world);
 }
 
 // Guards against two runs of one task: a leader whose claim has ended opens a new lease, but the store refuses to write
@@ -283,22 +288,14 @@
     world.run(settleTime);
     const std::size_t former = world.leaderIndex();
     const std::size_t successor = former == 0 ? 1 : 0;
-    world.submit(former, 0xe3, {.payload = "p", .steps = {stepOf(2, 1000, milliseconds(15000))}}, "batch");
-    world.run(milliseconds(500));
-    for (WorldWorker &worker : world.workers) {
-        if (!worker.runs.empty()) {
-            worker.unreachableFrom.insert(successor);
-        }
-    }
+    startRunsThatTheSuccessorCannotReach(world, 0xe3);
     world.store.refusedWriters.insert(former);
     world.nodes[former].dropsPeerMessages = true;
     world.nodes[successor].dropsPeerMessages = true;
     world.store.leases.at(world.nodes[former].node->leadership.lease).first = world.time;
     world.run(milliseconds(9000));
     CHECK_EQUAL(successor, world.leaderIndex());
-    for (const std::string &violation : world.violations) {
-        FAIL(violation.c_str());
-    }
+    checkNoViolations(world);
 }
 
 // Guards against a leader that never writes its claim again after the store has refused it once.
--- a/tests/dispatch/dispatch_placement_test.cpp
+++ b/tests/dispatch/dispatch_placement_test.cpp
@@ -25,13 +25,6 @@
     return answer->state;
 }
 
-void checkPromises(const World &world)
-{
-    for (const std::string &violation : world.violations) {
-        FAIL(violation.c_str());
-    }
-}
-
 } // namespace
 
 TEST_GROUP(DispatchPlacement){};
@@ -56,7 +49,7 @@
     CHECK(stateOf(world, 1) == JobState::Done);
     CHECK(stateOf(world, 2) == JobState::Done);
     CHECK_EQUAL(6, world.starts);
-    checkPromises(world);
+    checkNoViolations(world);
 }
 
 // Guards against urgent tasks that wait for less urgent ones although those could resume from a checkpoint.
@@ -70,7 +63,7 @@
     world.run(milliseconds(2000));
     world.submit(0, 2, {.payload = "u", .steps = {stepOf(2, 1000, milliseconds(300))}}, "urgent");
     CHECK(world.runUntil([&] { return stateOf(world, 2) == JobState::Done; }, milliseconds(1500)));
-    checkPromises(world);
+    checkNoViolations(world);
 }
 
 // Guards against the start of a step before all tasks of its preceding steps are done.
@@ -131,7 +124,7 @@
     world.workers[0].stalled = true;
     world.submit(0, 1, {.payload = "x", .steps = {stepOf(4, 1000, milliseconds(1500))}}, "batch");
     CHECK(world.runUntil([&] { return stateOf(world, 1) == JobState::Done; }, milliseconds(12000)));
-    checkPromises(world);
+    checkNoViolations(world);
 }
 
 // Guards against a late rejection of a task that is larger than every worker and so can never run.
@@ -223,5 +216,5 @@
                 && stateOf(world, 3) == JobState::Done;
         },
         milliseconds(14000)));
-    checkPromises(world);
+    checkNoViolations(world);
 }
--- a/tests/dispatch/dispatch_recovery_test.cpp
+++ b/tests/dispatch/dispatch_recovery_test.cpp
@@ -33,13 +33,6 @@
     return leader == 0 ? 1 : 0;
 }
 
-void checkNoViolations(const World &world)
-{
-    for (const std::string &violation : world.violations) {
-        FAIL(violation.c_str());
-    }
-}
-
 } // namespace
 
 TEST_GROUP(DispatchRecovery){};
--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
 
 namespace wigeonkeel::dispatch
@@ -17,6 +18,20 @@
 
 } // namespace
 
+void checkNoViolations(const World &world)
+{
+    for (const std::string &violation : world.violations) {
+        FAIL(violation.c_str());
+    }
+}
+
+std::size_t busyWorker(const World &world)
+{
+    const auto found
+        = std::ranges::find_if(world.workers, [](const WorldWorker &worker) { return !worker.runs.empty(); });
+    return static_cast<std::size_t>(found - world.workers.begin());
+}
+
 StepSpec stepOf(std::uint32_t count, std::int64_t cpuMilli, milliseconds estimate)
 {
     return {.count = count, .size = {.cpuMilli = cpuMilli, .memoryMib = 100}, .estimate = estimate};
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -324,6 +324,12 @@
     milliseconds m_nextTick{0};
 };
 
+/// Fails the running test with the first violation.
+void checkNoViolations(const World &world);
+
+/// The worker that runs something; the number of workers if none does.
+std::size_t busyWorker(const World &world);
+
 /// A step with usual values.
 StepSpec stepOf(std::uint32_t count, std::int64_t cpuMilli, milliseconds estimate);
 
--- a/tests/dispatch/inherited_leases_test.cpp
+++ b/tests/dispatch/inherited_leases_test.cpp
@@ -15,13 +15,6 @@
 /// Longer than a change of leader, a worker's lease and the wait for it together.
 constexpr milliseconds longWork{15000};
 
-void checkNoViolations(const World &world)
-{
-    for (const std::string &violation : world.violations) {
-        FAIL(violation.c_str());
-    }
-}
-
 /// Two daemons; one has started a long task, has just extended its lease, and is killed.
 void runUntilTheLeaderIsKilled(World &world)
 {
@@ -32,12 +25,6 @@
     world.kill(first);
 }
 
-std::size_t workerWithRun(const World &world)
-{
-    const auto found = std::ranges::find_if(world.workers, [](const WorldWorker &each) { return !each.runs.empty(); });
-    return static_cast<std::size_t>(found - world.workers.begin());
-}
-
 Worker *workerOf(World &world, std::size_t index)
 {
     Node *leader = world.leader();
@@ -68,7 +55,7 @@
 {
     World world(2, 3);
     runUntilTheLeaderIsKilled(world);
-    const std::size_t index = workerWithRun(world);
+    const std::size_t index = busyWorker(world);
     const auto isRenewing = [&] {
         const Worker *worker = workerOf(world, index);
         return worker != nullptr && worker->contacted && worker->renewalOpen
@@ -87,7 +74,7 @@
 {
     World world(2, 3);
     runUntilTheLeaderIsKilled(world);
-    const std::size_t index = workerWithRun(world);
+    const std::size_t index = busyWorker(world);
     world.workers[index].unresponsive = true;
     CHECK(world.runUntil([&] { return world.leader() != nullptr; }, milliseconds(2000)));
     world.store.unresponsive = true;
--- a/tests/dispatch/repeated_start_test.cpp
+++ b/tests/dispatch/repeated_start_test.cpp
@@ -17,19 +17,14 @@
     return {.payload = "p", .steps = {stepOf(1, 1000, estimate)}};
 }
 
-void checkNoViolations(const World &world)
+/// Submits a job of one task and returns the worker that runs it.
+std::size_t startTask(World &world, milliseconds work)
 {
-    for (const std::string &violation : world.violations) {
-        FAIL(violation.c_str());
-    }
-}
-
-/// The worker that runs something; the number of workers if none does.
-std::size_t busyWorker(const World &world)
-{
-    const auto found
-        = std::ranges::find_if(world.workers, [](const WorldWorker &worker) { return !worker.runs.empty(); });
-    return static_cast<std::size_t>(found - world.workers.begin());
+    world.submit(0, 0x1, oneTask(work), "batch");
+    world.run(milliseconds(1500));
+    const std::size_t worker = busyWorker(world);
+    CHECK(worker < world.workers.size());
+    return worker;
 }
 
 template <typename Condition>
@@ -75,10 +70,7 @@
     for (int delay = 0; delay < 200; delay += 20) {
         World world(3, 2);
         world.run(settleTime);
-        world.submit(0, 0x1, oneTask(milliseconds(9000)), "batch");
-        world.run(milliseconds(1500));
-        const std::size_t worker = busyWorker(world);
-        CHECK(worker < world.workers.size());
+        const std::size_t worker = startTask(world, milliseconds(9000));
         world.kill(world.leaderIndex());
         world.workers[worker].unresponsive = true;
         world.run(milliseconds(600 + delay));
@@ -124,10 +116,7 @@
 {
     World world(3, 2);
     world.run(settleTime);
-    world.submit(0, 0x1, oneTask(milliseconds(12000)), "batch");
-    world.run(milliseconds(1500));
-    const std::size_t worker = busyWorker(world);
-    CHECK(worker < world.workers.size());
+    const std::size_t worker = startTask(world, milliseconds(12000));
     world.kill(world.leaderIndex());
     for (WorldNode &node : world.nodes) {
         node.pauseAfterWrite = milliseconds(3000);
@@ -153,10 +142,7 @@
 {
     World world(2, 2);
     world.run(settleTime);
-    world.submit(0, 0x1, oneTask(milliseconds(12000)), "batch");
-    world.run(milliseconds(1500));
-    const std::size_t worker = busyWorker(world);
-    CHECK(worker < world.workers.size());
+    const std::size_t worker = startTask(world, milliseconds(12000));
     const std::size_t former = world.leaderIndex();
     const std::size_t successor = 1 - former;
     world.nodes[former].peerLatency = milliseconds(3000);
--- a/tests/dispatch/timed_jobs_test.cpp
+++ b/tests/dispatch/timed_jobs_test.cpp
@@ -30,13 +30,6 @@
     world.kill(first);
 }
 
-void checkNoViolations(const World &world)
-{
-    for (const std::string &violation : world.violations) {
-        FAIL(violation.c_str());
-    }
-}
-
 } // namespace
 
 TEST_GROUP(DispatchTimedJobs){};
--- a/tests/dispatch/unknown_runs_test.cpp
+++ b/tests/dispatch/unknown_runs_test.cpp
@@ -31,13 +31,6 @@
     world.workers[worker].stopTime = slowStop;
 }
 
-void checkNoViolations(const World &world)
-{
-    for (const std::string &violation : world.violations) {
-        FAIL(violation.c_str());
-    }
-}
-
 } // namespace
 
 TEST_GROUP(DispatchUnknownRuns){};
--- a/tests/dispatch/unseen_daemon_test.cpp
+++ b/tests/dispatch/unseen_daemon_test.cpp
@@ -34,7 +34,5 @@
     }
     CHECK(world.runUntil([&] { return isLeading(*world.nodes[third].node); }, milliseconds(4000)));
     world.run(milliseconds(9000));
-    for (const std::string &violation : world.violations) {
-        FAIL(violation.c_str());
-    }
+    checkNoViolations(world);
 }
