core: an unexpected error ends neither the process nor the loop

Cause: an exception that left a callback reached libevent's C code and ended the process; in wigeonkeeld's kernel it would also have left the flag set that an event is being handled. Durations in frames of other daemons were not limited, so that adding one to a time could overflow. Change: callbacks run through callGuarded(), which logs and counts. A request whose handler fails loses its connection, so that its client knows that the outcome is unknown; a leader resigns and the next one reads the state from the store and the workers. Durations and amounts in frames are clamped to the ranges of the JSON decoder. Tests: GuardedCall, HttpServer.AHandlerThatThrowsEndsItsConnectionOnly, ClusterCodec.AlteredFramesDoNoHarm. They end the process, or have nothing to call, on the former code; this was not run.

--- a/core/dispatch/dispatch_kernel.h
+++ b/core/dispatch/dispatch_kernel.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/dispatch/node.h"
 #include "core/event_loop.h"
+#include "core/guarded_call.h"
 #include "core/registry.h"
 
 #include <prometheus/histogram.h>
@@ -47,11 +48,17 @@
 /// Calls the register functions of the platform's adapter and of the cluster link.
 void registerDispatchPlugins(DispatchRegistry &registry);
 
+/// Call after an unexpected error in the node's decisions. A leader resigns: what it knows may be incomplete, and the
+/// next leader reads the state from the store and the workers.
+void handleUnexpectedError(DispatchKernel &kernel);
+
 /// Passes an event to the node. The resulting actions are carried out at the end of the loop's turn.
 template <typename Handler>
 void post(DispatchKernel &kernel, Handler handler)
 {
-    handler(kernel.node, readClock(kernel.clock));
+    if (!callGuarded("node", [&] { handler(kernel.node, readClock(kernel.clock)); })) {
+        handleUnexpectedError(kernel);
+    }
     if (!kernel.turnScheduled) {
         kernel.turnScheduled = true;
         kernel.turnTimer.startOnce(milliseconds(0));
--- a/core/event_loop.cpp
+++ b/core/event_loop.cpp
@@ -4,6 +4,7 @@
 
 #include <event2/event.h>
 
+#include "core/guarded_call.h"
 #include "core/log.h"
 
 namespace wigeonkeel
@@ -53,7 +54,7 @@
         if (timer->m_repeating) {
             timer->start(timer->m_interval);
         }
-        timer->m_callback();
+        callGuarded("timer", timer->m_callback);
     };
     m_event = evtimer_new(loop.base(), fire, this);
 }
@@ -91,7 +92,9 @@
     : m_callback(std::move(callback))
     , m_event(nullptr)
 {
-    const auto fire = [](evutil_socket_t, short, void *self) { static_cast<SignalWatch *>(self)->m_callback(); };
+    const auto fire = [](evutil_socket_t, short, void *self) {
+        callGuarded("signal", static_cast<SignalWatch *>(self)->m_callback);
+    };
     m_event = evsignal_new(loop.base(), signalNumber, fire, this);
     event_add(m_event, nullptr);
 }
--- a/core/kernel.cpp
+++ b/core/kernel.cpp
@@ -1,5 +1,6 @@
 #include "core/kernel.h"
 
+#include "core/guarded_call.h"
 #include "core/log.h"
 
 namespace wigeonkeel
@@ -24,6 +25,18 @@
     void operator()(const LogAction &action) const { logLine(action.level, action.part, "{}", action.text); }
 };
 
+/// Actions that were decided before an unexpected error are carried out: the scheduler's state counts on them.
+void handleEvent(Kernel &kernel, const Event &event)
+{
+    Actions actions;
+    const Now now = readClock(kernel.clock);
+    callGuarded("scheduler", [&] { step(kernel.scheduler, event, now, actions); });
+    for (const Action &action : actions) {
+        callGuarded("kernel", [&] { std::visit(ActionRunner{kernel}, action); });
+    }
+    kernel.signals.observed.emit({.kind = ObservationKind::Step, .duration = kernel.clock.now() - now.monotonic});
+}
+
 } // namespace
 
 void post(Kernel &kernel, const Event &event)
@@ -38,13 +51,7 @@
     while (!kernel.queuedEvents.empty()) {
         const Event next = std::move(kernel.queuedEvents.front());
         kernel.queuedEvents.pop_front();
-        Actions actions;
-        const Now now = readClock(kernel.clock);
-        step(kernel.scheduler, next, now, actions);
-        for (const Action &action : actions) {
-            std::visit(ActionRunner{kernel}, action);
-        }
-        kernel.signals.observed.emit({.kind = ObservationKind::Step, .duration = kernel.clock.now() - now.monotonic});
+        callGuarded("kernel", [&] { handleEvent(kernel, next); });
     }
     kernel.handlingEvents = false;
 }
--- a/drivers/cluster_protocol/cluster_codec.cpp
+++ b/drivers/cluster_protocol/cluster_codec.cpp
@@ -1,8 +1,10 @@
 #include "drivers/cluster_protocol/cluster_codec.h"
 
+#include "core/json_text.h"
 #include "drivers/cluster_protocol/cluster_generated.h"
 #include "drivers/peer_protocol/frame_bytes.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace wigeonkeel::dispatch
@@ -28,6 +30,22 @@
     return value > static_cast<std::uint8_t>(last) ? last : static_cast<Enum>(value);
 }
 
+std::int64_t valueIn(std::int64_t value, IntegerRange range)
+{
+    return std::clamp(value, range.least, range.most);
+}
+
+/// Clamps a duration, so that adding it to a time does not overflow.
+milliseconds durationOf(std::int64_t value)
+{
+    return milliseconds(valueIn(value, durationRange));
+}
+
+std::chrono::microseconds microsOf(std::int64_t value)
+{
+    return std::chrono::microseconds(valueIn(value, durationRange));
+}
+
 std::pair<wire::Body, flatbuffers::Offset<void>> build(Builder &builder, const Presence &presence)
 {
     const auto offset = wire::CreatePresence(builder, builder.CreateString(presence.node), presence.leader.token,
@@ -119,7 +137,7 @@
             .endpoint = {.ip = textOf(presence.leader_ip()), .port = presence.leader_port()},
             .identity = presence.leader_identity()},
         .configVersion = presence.config_version(),
-        .cpuMilli = presence.cpu_milli(),
+        .cpuMilli = valueIn(presence.cpu_milli(), amountRange),
         .storeFailing = presence.store_failing(),
         .number = presence.number(),
         .echo = presence.echo()};
@@ -144,7 +162,7 @@
                                .outcome = enumOf(answer.outcome(), ClientOutcome::NotLeader),
                                .state = enumOf(answer.state(), JobState::Cancelled),
                                .count = answer.count(),
-                               .retryAfter = milliseconds(answer.retry_after_ms())}};
+                               .retryAfter = durationOf(answer.retry_after_ms())}};
 }
 
 PeerBody read(const wire::AdviceOrder &order)
@@ -152,7 +170,7 @@
     RequestAdvice ask{.call = order.exchange(),
         .step = {.job = order.job(), .occurrence = order.occurrence(), .step = order.step()},
         .workers = {},
-        .timeout = milliseconds(order.timeout_ms())};
+        .timeout = durationOf(order.timeout_ms())};
     if (order.workers() != nullptr) {
         for (const auto *worker : *order.workers()) {
             ask.workers.push_back(textOf(worker));
@@ -166,7 +184,7 @@
     AdviceReply reply{.call = result.exchange(),
         .status = enumOf(result.status(), CallStatus::Unknown),
         .allowed = {},
-        .validity = milliseconds(result.validity_ms())};
+        .validity = durationOf(result.validity_ms())};
     if (result.allowed() != nullptr) {
         for (const auto *row : *result.allowed()) {
             reply.allowed.push_back({.worker = textOf(row->worker()), .ticket = textOf(row->ticket())});
@@ -189,12 +207,12 @@
         .priority = queue.priority(),
         .maxAttempts = queue.max_attempts(),
         .stretch = queue.stretch(),
-        .target = milliseconds(queue.target_ms()),
+        .target = durationOf(queue.target_ms()),
         .advice = {}};
     if (queue.advice() != nullptr) {
-        result.advice = {.base = std::chrono::microseconds(queue.advice()->base_us()),
-            .perWorker = std::chrono::microseconds(queue.advice()->per_worker_us()),
-            .ticketValidity = milliseconds(queue.advice()->validity_ms())};
+        result.advice = {.base = microsOf(queue.advice()->base_us()),
+            .perWorker = microsOf(queue.advice()->per_worker_us()),
+            .ticketValidity = durationOf(queue.advice()->validity_ms())};
     }
     return result;
 }
@@ -206,8 +224,8 @@
         .pools = {},
         .limits = {.maxHeaderBytes = transfer.max_header_bytes(),
             .maxBodyBytes = transfer.max_body_bytes(),
-            .headerTimeout = milliseconds(transfer.header_timeout_ms()),
-            .idleTimeout = milliseconds(transfer.idle_timeout_ms())},
+            .headerTimeout = durationOf(transfer.header_timeout_ms()),
+            .idleTimeout = durationOf(transfer.idle_timeout_ms())},
         .byName = {},
         .byHost = {}};
     if (transfer.queues() != nullptr) {
--- a/drivers/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -1,5 +1,7 @@
 #include "drivers/http/http_client.h"
 
+#include "core/guarded_call.h"
+
 #include <algorithm>
 
 #include <event2/buffer.h>
@@ -222,7 +224,7 @@
 void HttpConnection::complete(std::unique_ptr<Pending> pending, HttpResponse response)
 {
     const std::weak_ptr<bool> alive = m_alive;
-    pending->callback(std::move(response));
+    callGuarded("http_client", [&] { pending->callback(std::move(response)); });
     if (alive.expired()) {
         return;
     }
--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -1,5 +1,6 @@
 #include "drivers/http/http_server.h"
 
+#include "core/guarded_call.h"
 #include "core/log.h"
 
 #include <algorithm>
@@ -175,8 +176,13 @@
     evhttp_connection *connection = evhttp_request_get_connection(m_waiting.at(token).request);
     take(token);
     evhttp_connection_free(connection);
+    reportClientGone(token);
+}
+
+void HttpServer::reportClientGone(HttpToken token)
+{
     if (m_clientGone) {
-        m_clientGone(token);
+        callGuarded("http_server", [&] { m_clientGone(token); });
     }
 }
 
@@ -230,9 +236,7 @@
     }
     const HttpToken token = found->second;
     server->take(token);
-    if (server->m_clientGone) {
-        server->m_clientGone(token);
-    }
+    server->reportClientGone(token);
 }
 
 void HttpServer::dispatch(evhttp_request *request)
@@ -275,9 +279,12 @@
 
 void HttpServer::handOver(const HttpRequest &request)
 {
-    for (const auto &[prefix, handler] : m_routes) {
-        if (request.path.starts_with(prefix)) {
-            handler(request);
+    for (const auto &route : m_routes) {
+        if (request.path.starts_with(route.first)) {
+            if (!callGuarded("http_server", [&] { route.second(request); })) {
+                // The outcome of the request is not known, and the client is told so by the closed connection.
+                drop(request.token);
+            }
             return;
         }
     }
--- a/drivers/http/http_server.h
+++ b/drivers/http/http_server.h
@@ -107,6 +107,7 @@
     evhttp_request *take(HttpToken token);
     void watchClose(evhttp_connection *connection);
     void closeConnection(HttpToken token);
+    void reportClientGone(HttpToken token);
 
     EventLoop &m_loop;
     HttpServerOptions m_options;
--- a/drivers/peer_protocol/frame_connection.cpp
+++ b/drivers/peer_protocol/frame_connection.cpp
@@ -1,5 +1,7 @@
 #include "drivers/peer_protocol/frame_connection.h"
 
+#include "core/guarded_call.h"
+
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
@@ -103,7 +105,7 @@
     while (evbuffer_copyout(input, header.data(), header.size()) == static_cast<ev_ssize_t>(header.size())) {
         const std::size_t size = frameSize(header);
         if (size > maxFrameSize) {
-            m_handlers.refused(m_handlers.state, m_handlers.id, FrameProblem::TooLarge);
+            callGuarded("frames", [&] { m_handlers.refused(m_handlers.state, m_handlers.id, FrameProblem::TooLarge); });
             return;
         }
         const std::size_t whole = frameHeaderSize + size;
@@ -111,7 +113,8 @@
             return;
         }
         const auto *bytes = reinterpret_cast<const std::byte *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(whole)));
-        m_handlers.frame(m_handlers.state, m_handlers.id, std::span(bytes + frameHeaderSize, size));
+        const std::span frame(bytes + frameHeaderSize, size);
+        callGuarded("frames", [&] { m_handlers.frame(m_handlers.state, m_handlers.id, frame); });
         if (!*alive) {
             return;
         }
@@ -122,7 +125,7 @@
 void FrameConnection::onEvent(short what)
 {
     if ((what & BEV_EVENT_CONNECTED) != 0) {
-        m_handlers.connected(m_handlers.state, m_handlers.id);
+        callGuarded("frames", [&] { m_handlers.connected(m_handlers.state, m_handlers.id); });
         return;
     }
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) {
@@ -131,7 +134,7 @@
     const int code = EVUTIL_SOCKET_ERROR();
     const std::string reason
         = (what & BEV_EVENT_EOF) != 0 ? "closed by the peer" : fmt::format("{}", std::strerror(code));
-    m_handlers.closed(m_handlers.state, m_handlers.id, reason);
+    callGuarded("frames", [&] { m_handlers.closed(m_handlers.state, m_handlers.id, reason); });
 }
 
 FrameListener::FrameListener(EventLoop &loop, Accept accept, void *state)
@@ -160,7 +163,7 @@
     }
     const auto accepted = [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *self) {
         const auto *listener = static_cast<FrameListener *>(self);
-        listener->m_accept(listener->m_state, socket);
+        callGuarded("frames", [&] { listener->m_accept(listener->m_state, socket); });
     };
     m_listener = evconnlistener_new_bind(m_loop.base(), accepted, this,
         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, listenBacklog,
--- a/modules/cluster_metrics/cluster_metrics.cpp
+++ b/modules/cluster_metrics/cluster_metrics.cpp
@@ -1,5 +1,7 @@
 #include "modules/cluster_metrics/cluster_metrics.h"
 
+#include "core/guarded_call.h"
+
 #include <prometheus/counter.h>
 #include <prometheus/text_serializer.h>
 
@@ -126,6 +128,8 @@
     gauge("leader_token", static_cast<double>(node.leadership.leader.token));
     gauge("configuration_version", static_cast<double>(node.configuration.version));
     gauge("client_calls_open", static_cast<double>(node.entries.size()));
+    families.push_back(
+        family("unexpected_errors_total", prometheus::MetricType::Counter, static_cast<double>(unexpectedErrors())));
     if (node.dispatcher) {
         addLeaderMetrics(*node.dispatcher, families);
     }
--- a/tests/drivers/http/http_server_test.cpp
+++ b/tests/drivers/http/http_server_test.cpp
@@ -5,6 +5,7 @@
 #include "tests/drivers/http/raw_socket.h"
 
 #include <memory>
+#include <stdexcept>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -109,6 +110,20 @@
     CHECK_TRUE(answered(*good, "/good"));
 }
 
+// Guards against one unexpected error in the handling of a request that ends the process. The client learns from the
+// closed connection that the outcome is not known.
+TEST(HttpServer, AHandlerThatThrowsEndsItsConnectionOnly)
+{
+    server.route("/throw", [](const HttpRequest &) { throw std::out_of_range("a key is missing"); });
+    const auto failed = connect();
+    failed->send("GET /throw HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK_TRUE(eventually([&] { return failed->ended(); }));
+    CHECK_TRUE(failed->received().empty());
+    const auto good = connect();
+    good->send("GET /good HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK_TRUE(answered(*good, "/good"));
+}
+
 // Guards against connections that are held for ever by silence or by one byte at a time.
 TEST(HttpServer, SlowAndSilentClientsAreClosed)
 {
--- a/tests/platform/cluster_codec_test.cpp
+++ b/tests/platform/cluster_codec_test.cpp
@@ -1,5 +1,8 @@
+#include "core/guarded_call.h"
+#include "core/routing/random.h"
 #include "drivers/cluster_protocol/cluster_codec.h"
 #include "drivers/peer_protocol/peer_codec.h"
+#include "tests/dispatch/dispatch_world.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -85,3 +88,56 @@
     CHECK_FALSE(decodePeerBody(bytes.first(bytes.size() / 2)).has_value());
     CHECK_FALSE(decodePeerBody({}).has_value());
 }
+
+namespace
+{
+
+std::vector<PeerBody> messagesOfAllKinds()
+{
+    const Configuration configuration{.version = 9,
+        .queues = {{.name = "a", .host = "h", .pathPrefix = "/a/", .pool = "p", .advice = AdviceTimes{}}},
+        .pools = {{.name = "p"}}};
+    return {Presence{.node = "n9",
+                .leader = {.token = 5, .node = "n8", .endpoint = {.ip = "1.2.3.4", .port = 6}, .identity = 9},
+                .cpuMilli = 500,
+                .number = 7},
+        ForwardedCall{.call = {.call = 1, .queue = "batch", .job = 0x1, .wait = milliseconds(300)}},
+        ForwardedCall{.call = {.call = 1, .kind = ClientCallKind::Submit, .queue = "batch", .job = 2, .record = "{}"}},
+        ForwardedAnswer{.answer = {.call = 1, .outcome = ClientOutcome::Ok, .retryAfter = milliseconds(5)}},
+        AdviceOrder{.request = {.call = 2, .workers = {"w0", "w1"}, .timeout = milliseconds(90)}},
+        AdviceResult{.reply = {.call = 2,
+                         .status = CallStatus::Ok,
+                         .allowed = {{.worker = "w0", .ticket = "t"}},
+                         .validity = milliseconds(2000)}},
+        ConfigurationRequest{.newerThan = 3}, ConfigurationTransfer{.configuration = configuration}};
+}
+
+} // namespace
+
+// Guards against one malformed message of another daemon that ends the process of a leader or of a follower.
+TEST(ClusterCodec, AlteredFramesDoNoHarm)
+{
+    constexpr int rounds = 3000;
+    const std::vector<PeerBody> messages = messagesOfAllKinds();
+    RandomState random{.value = 11};
+    World world(2, 2);
+    world.run(milliseconds(3000));
+    world.submit(0, 0x1, {.payload = "p", .steps = {stepOf(1, 100, milliseconds(60000))}}, "batch");
+    world.run(milliseconds(300));
+    const std::uint64_t errors = unexpectedErrors();
+    for (int round = 0; round < rounds; ++round) {
+        std::string frame = encodePeerBody(messages[randomBelow(random, messages.size())]);
+        const std::size_t body = frame.size() - frameHeaderSize;
+        for (std::uint64_t i = randomBelow(random, 4); i-- > 0;) {
+            frame[frameHeaderSize + randomBelow(random, body)] = static_cast<char>(nextRandom(random));
+        }
+        const auto decoded = decodePeerBody(std::as_bytes(std::span(frame)).subspan(frameHeaderSize));
+        for (const WorldNode &node : world.nodes) {
+            if (decoded) {
+                callGuarded("test", [&] { handlePeerMessage(*node.node, "n9", *decoded, world.now()); });
+            }
+        }
+        world.run(milliseconds(round % 50 == 0 ? 10 : 0));
+    }
+    CHECK_EQUAL(errors, unexpectedErrors());
+}
