dispatch: a query of a running job waits for the job's end

Change: such a query is answered once the end is stored, or as running after a quarter of the client's deadline, at most 0.5 s. 8,192 queries wait at most. A leader that takes over sends again the calls that this daemon had forwarded to the former leader: one that resigned without breaking the connection answered none of them.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -27,6 +27,9 @@
 /// Time after which a client may retry while the store is unavailable.
 constexpr milliseconds outageRetryAfter{1000};
 constexpr milliseconds overloadRetryAfter{2000};
+/// Most queries that wait for the end of their job; further ones are answered at once. A waiting query takes about 300
+/// bytes here and in the daemon that received it.
+constexpr std::size_t maxWaitingQueries = 8192;
 /// Most calls about unknown jobs that read from the store at one time; a share of the reads that it grants.
 constexpr std::size_t maxUnknownJobReads = 64;
 
@@ -179,20 +182,51 @@
     return job.started || isEnded(job.state) ? JobState::Running : JobState::Queued;
 }
 
+void reportEnd(Dispatcher &dispatcher, CallId call, JobId id, JobState state)
+{
+    logLine(LogLevel::Info, logPart, "End reported to a client. job={} state={}", formatJobId(id), stateName(state));
+    answer(dispatcher, {.call = call, .outcome = ClientOutcome::Ok, .state = state});
+}
+
+/// Whether the job runs and can end without another call of its client.
+bool canEndByItself(const Job &job)
+{
+    const JobSpec &spec = job.record.spec;
+    return job.started && job.nextOccurrence >= spec.repeatCount
+        && std::ranges::none_of(spec.steps, [](const StepSpec &step) { return step.longRunning; });
+}
+
+/// Answers the queries that have waited for their time; their jobs still run.
+void answerOverdueQueries(Dispatcher &dispatcher, MonotonicTime now)
+{
+    auto &waiting = dispatcher.waitingQueries;
+    while (!waiting.empty() && waiting.begin()->first <= now) {
+        const WaitingQuery query = waiting.begin()->second;
+        waiting.erase(waiting.begin());
+        Job *job = findJob(dispatcher.jobs, query.job);
+        if (job != nullptr && std::erase(job->waitingQueries, query.call) > 0) {
+            answer(dispatcher, {.call = query.call, .outcome = ClientOutcome::Ok, .state = reportedState(*job)});
+        }
+    }
+}
+
 void query(Dispatcher &dispatcher, const ClientCall &call, MonotonicTime now)
 {
     const auto ended = dispatcher.jobs.ended.find(call.job);
     if (ended != dispatcher.jobs.ended.end()) {
-        logLine(LogLevel::Info, logPart, "End reported to a client. job={} state={}", formatJobId(call.job),
-            stateName(ended->second));
-        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok, .state = ended->second});
+        reportEnd(dispatcher, call.call, call.job, ended->second);
         return;
     }
-    const Job *job = findJob(dispatcher.jobs, call.job);
+    Job *job = findJob(dispatcher.jobs, call.job);
     if (job == nullptr) {
         answerUnknownJob(dispatcher, call, now);
         return;
     }
+    if (call.wait.count() > 0 && canEndByItself(*job) && dispatcher.waitingQueries.size() < maxWaitingQueries) {
+        job->waitingQueries.push_back(call.call);
+        dispatcher.waitingQueries.emplace(now + call.wait, WaitingQuery{.call = call.call, .job = call.job});
+        return;
+    }
     answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok, .state = reportedState(*job)});
 }
 
@@ -267,6 +301,9 @@
     for (const CallId call : job.waitingCancels) {
         answer(dispatcher, {.call = call, .outcome = ClientOutcome::Ok});
     }
+    for (const CallId call : job.waitingQueries) {
+        reportEnd(dispatcher, call, job.record.id, job.state);
+    }
     const JobId id = job.record.id;
     dispatcher.jobs.ended[id] = job.state;
     dispatcher.jobs.endedOrder.emplace(now, id);
@@ -503,6 +540,7 @@
         placeTasks(dispatcher, now.monotonic);
     }
     renewWorkers(dispatcher, now.monotonic);
+    answerOverdueQueries(dispatcher, now.monotonic);
     std::vector<JobId> upToDate;
     for (const JobId id : dispatcher.unstoredJobs) {
         Job *job = findJob(dispatcher.jobs, id);
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <deque>
 #include <span>
+#include <map>
 #include <string>
 
 namespace wigeonkeel::dispatch
@@ -60,6 +61,13 @@
 
 struct DispatchCounters
 {
+/// A query of a running job that is answered once the job's end is stored.
+struct WaitingQuery
+{
+    CallId call = 0;
+    JobId job = 0;
+};
+
     std::uint64_t accepted = 0;
     std::uint64_t rejected = 0;
     std::uint64_t jobsDone = 0;
@@ -130,6 +138,9 @@
     /// The time of day at the start of the monotonic clock, as last seen.
     WallTime wallOrigin{};
     DispatchCounters counters;
+    /// By the time at which they are answered even if the job still runs. Queries that were answered by the job's end
+    /// stay here until that time.
+    std::multimap<MonotonicTime, WaitingQuery> waitingQueries;
 };
 
 /// Records a duration in the histogram of its kind.
--- a/core/dispatch/job_table.h
+++ b/core/dispatch/job_table.h
@@ -115,6 +115,8 @@
     /// Calls of clients that wait for the job's acceptance, and for its cancellation.
     std::vector<CallId> waitingSubmits;
     std::vector<CallId> waitingCancels;
+    /// Queries that wait for the job's end; each is also in Dispatcher::waitingQueries.
+    std::vector<CallId> waitingQueries;
     /// Ends that no progress record covers yet, and those covered by the record that is being stored.
     std::vector<UnstoredEnd> unstoredEnds;
     std::vector<UnstoredEnd> endsBeingStored;
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -738,6 +738,10 @@
     case StorePurpose::ClaimWrite:
         handleClaimWriteReply(node, reply, now);
         return true;
+    // Calls that were forwarded to the former leader. It may have executed them, so they are still never rejected.
+    for (auto &[call, entry] : node.entries) {
+        entry.sent = false;
+    }
     case StorePurpose::LoadJobs:
         handlePage(node, reply, now, ClaimPhase::LoadingJobs, purpose, jobPrefix, loadJobItem, [](Node &owner, Now at) {
             setPhase(owner, ClaimPhase::LoadingProgress, at.monotonic);
--- a/core/dispatch/messages.h
+++ b/core/dispatch/messages.h
@@ -314,6 +314,8 @@
     JobId job = 0;
     /// Encoded JobRecord of a submission.
     std::string record;
+    /// Longest time for which a query of a running job may wait for the job's end. 0: it is answered at once.
+    milliseconds wait{0};
 };
 
 enum class ClientOutcome : std::uint8_t {
--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -48,6 +48,10 @@
 /// after that, which leaves time to write the answers.
 constexpr milliseconds shutdownAnswerMargin{900};
 /// After this long without a message from the leader, the daemon is not ready for new connections.
+/// Longest wait of a query for the end of its job: people take a longer delay for a stalled service. A wait is also
+/// limited to a fraction of the client's time, so that an answer that is lost leaves time for another query.
+constexpr milliseconds maxQueryWait{500};
+constexpr int queryWaitDivisor = 4;
 constexpr milliseconds readyWithoutLeader{3000};
 
 void setReady(Node &node, bool ready)
@@ -71,7 +75,8 @@
 
 void sendToLeader(Node &node, EntryCall &entry, Now now)
 {
-    if (now.monotonic >= answerDue(node, entry)) {
+    const MonotonicTime due = answerDue(node, entry);
+    if (now.monotonic >= due) {
         // The leader's answer would come too late. A call that was never sent to a leader can be rejected instead.
         return;
     }
@@ -79,6 +84,10 @@
         entry.sent = true;
         entry.everSent = true;
         handleClientCall(*node.dispatcher, entry.call, now);
+    if (entry.call.kind == ClientCallKind::Query) {
+        const auto fraction = std::chrono::floor<milliseconds>((due - now.monotonic) / queryWaitDivisor);
+        entry.call.wait = std::min(maxQueryWait, fraction);
+    }
     } else if (node.leadership.leaderConnected) {
         entry.sent = true;
         entry.everSent = true;
--- a/drivers/cluster_protocol/cluster_codec.cpp
+++ b/drivers/cluster_protocol/cluster_codec.cpp
@@ -60,7 +60,8 @@
     const ClientCall &call = forwarded.call;
     const auto offset = wire::CreateCall(builder, call.call, static_cast<std::uint8_t>(call.kind),
         builder.CreateString(call.queue), call.job,
-        builder.CreateVector(reinterpret_cast<const std::uint8_t *>(call.record.data()), call.record.size()));
+        builder.CreateVector(reinterpret_cast<const std::uint8_t *>(call.record.data()), call.record.size()),
+        call.wait.count());
     return {wire::Body::Call, offset.Union()};
 }
 
@@ -149,7 +150,8 @@
         .kind = enumOf(call.kind(), ClientCallKind::CountPending),
         .queue = textOf(call.queue()),
         .job = call.job(),
-        .record = {}};
+        .record = {},
+        .wait = durationOf(call.wait_ms())};
     if (call.record() != nullptr) {
         result.record.assign(reinterpret_cast<const char *>(call.record()->data()), call.record()->size());
     }
--- a/drivers/cluster_protocol/cluster_generated.h
+++ b/drivers/cluster_protocol/cluster_generated.h
@@ -318,7 +318,8 @@
     VT_KIND = 6,
     VT_QUEUE = 8,
     VT_JOB = 10,
-    VT_RECORD = 12
+    VT_RECORD = 12,
+    VT_WAIT_MS = 14
   };
   uint64_t exchange() const {
     return GetField<uint64_t>(VT_EXCHANGE, 0);
@@ -335,6 +336,9 @@
   const flatbuffers::Vector<uint8_t> *record() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_RECORD);
   }
+  int64_t wait_ms() const {
+    return GetField<int64_t>(VT_WAIT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_EXCHANGE, 8) &&
@@ -344,6 +348,7 @@
            VerifyField<uint64_t>(verifier, VT_JOB, 8) &&
            VerifyOffset(verifier, VT_RECORD) &&
            verifier.VerifyVector(record()) &&
+           VerifyField<int64_t>(verifier, VT_WAIT_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -367,6 +372,9 @@
   void add_record(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> record) {
     fbb_.AddOffset(Call::VT_RECORD, record);
   }
+  void add_wait_ms(int64_t wait_ms) {
+    fbb_.AddElement<int64_t>(Call::VT_WAIT_MS, wait_ms, 0);
+  }
   explicit CallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -384,8 +392,10 @@
     uint8_t kind = 0,
     flatbuffers::Offset<flatbuffers::String> queue = 0,
     uint64_t job = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> record = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> record = 0,
+    int64_t wait_ms = 0) {
   CallBuilder builder_(_fbb);
+  builder_.add_wait_ms(wait_ms);
   builder_.add_job(job);
   builder_.add_exchange(exchange);
   builder_.add_record(record);
@@ -400,7 +410,8 @@
     uint8_t kind = 0,
     const char *queue = nullptr,
     uint64_t job = 0,
-    const std::vector<uint8_t> *record = nullptr) {
+    const std::vector<uint8_t> *record = nullptr,
+    int64_t wait_ms = 0) {
   auto queue__ = queue ? _fbb.CreateString(queue) : 0;
   auto record__ = record ? _fbb.CreateVector<uint8_t>(*record) : 0;
   return wigeonkeel::cluster_wire::CreateCall(
@@ -409,7 +420,8 @@
       kind,
       queue__,
       job,
-      record__);
+      record__,
+      wait_ms);
 }
 
 struct Answer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
