dispatch: the leader is searched through the seeds, and retries pause

Cause: a daemon that can't read the store learned who leads from the store only. A refused connection to the leader was dialled again within a round trip, and so were refused reads of a new leader. Change: without a leader, a daemon tries the known leader and a random other seed in turn, 0.3 s each. Dials pause for 100 ms, failed reads of records for 50 ms.

--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -43,6 +43,12 @@
 /// by a clock that may be 2% slow. A former leader's last order may still have been in transit.
 constexpr milliseconds inheritanceMargin{1000};
 constexpr milliseconds pauseAfterResigning{4000};
+/// Shortest time between two attempts to connect to the same leader. A refused attempt fails within a round trip, so
+/// that attempts without a pause would take most of a small VM's processor.
+constexpr milliseconds dialInterval{100};
+/// Pause before a page of records is read again after a failure. A store that refuses calls does so within a round
+/// trip.
+constexpr milliseconds loadRetry{50};
 
 void setPhase(Node &node, ClaimPhase phase, MonotonicTime now)
 {
@@ -136,6 +142,7 @@
     setPhase(node, ClaimPhase::Following, now);
     node.leadership.loadedJobs.clear();
     node.leadership.loadedProgress.clear();
+    node.leadership.failedLoad.reset();
     node.leadership.claimAt = MonotonicTime::max();
     node.leadership.formerLease = 0;
     node.leadership.claimFailedAt = now;
@@ -279,6 +286,33 @@
         .call = newStoreCall(node, purpose), .prefix = std::string(prefix), .after = node.leadership.loadAfter});
 }
 
+void retryLoad(Node &node, StorePurpose purpose, Now now)
+{
+    node.leadership.failedLoad = purpose;
+    node.leadership.failedLoadRetryAt = now.monotonic + loadRetry;
+}
+
+std::string_view prefixOf(StorePurpose load)
+{
+    switch (load) {
+    case StorePurpose::LoadJobs:
+        return jobPrefix;
+    case StorePurpose::LoadProgress:
+        return progressPrefix;
+    default:
+        return endPrefix;
+    }
+}
+
+void tickLoading(Node &node, Now now)
+{
+    Leadership &leadership = node.leadership;
+    if (leadership.failedLoad && now.monotonic >= leadership.failedLoadRetryAt) {
+        const StorePurpose purpose = *std::exchange(leadership.failedLoad, std::nullopt);
+        loadPage(node, purpose, prefixOf(purpose));
+    }
+}
+
 void createDispatcher(Node &node, std::uint64_t token, MonotonicTime now)
 {
     node.dispatcher = std::make_unique<Dispatcher>();
@@ -366,7 +400,7 @@
     }
     if (reply.status != CallStatus::Ok) {
         // Reads the same page again. Whether this daemon still leads depends only on the lease of its claim.
-        loadPage(node, purpose, prefix);
+        retryLoad(node, purpose, now);
         return;
     }
     for (const StoreItem &item : reply.items) {
@@ -417,7 +451,7 @@
         return;
     }
     if (reply.status != CallStatus::Ok) {
-        loadPage(node, StorePurpose::LoadEnds, endPrefix);
+        retryLoad(node, StorePurpose::LoadEnds, now);
         return;
     }
     for (const StoreItem &item : reply.items) {
@@ -582,6 +616,7 @@
             .timeout
             = std::clamp(storeTimeout(node.dispatcher->commits.health, 0), minKeepAliveTimeout, maxKeepAliveTimeout)});
     }
+    tickLoading(node, now);
     if (leadership.phase != ClaimPhase::Leading) {
         return;
     }
@@ -610,12 +645,14 @@
 
 } // namespace
 
-void dialLeader(Node &node)
+void dialLeader(Node &node, Now now)
 {
     const Endpoint &wanted = node.leadership.leader.endpoint;
-    if (isLeading(node) || wanted.ip.empty() || wanted == node.options.endpoint || node.dialled == wanted) {
+    if (isLeading(node) || wanted.ip.empty() || wanted == node.options.endpoint || node.dialled == wanted
+        || now.monotonic < node.leadership.nextDial) {
         return;
     }
+    node.leadership.nextDial = now.monotonic + dialInterval;
     node.dialled = wanted;
     node.outbox.add(DialNode{.endpoint = wanted});
 }
@@ -656,7 +693,9 @@
     for (auto &[call, entry] : node.entries) {
         entry.sent = entry.sent && sameProcess;
     }
-    dialLeader(node);
+    leadership.nextDial = now.monotonic;
+    leadership.leaderMissingSince = MonotonicTime::max();
+    dialLeader(node, now);
 }
 
 void stepDown(Node &node, StepDownKind kind, std::string_view why, Now now)
@@ -699,6 +738,10 @@
         leadership.leader.token, leadership.loadedJobs.size(), node.dispatcher->workers.workers.size(),
         std::chrono::floor<milliseconds>(now.monotonic - leadership.leaseRequestedAt).count());
     node.dispatcher->runDiscoveryFinished = leadership.loadedJobs.empty();
+    // Calls that were forwarded to the former leader. It may have executed them, so they are still never rejected.
+    for (auto &[call, entry] : node.entries) {
+        entry.sent = false;
+    }
     leadership.loadedJobs.clear();
     leadership.loadedProgress.clear();
     leadership.leadingSince = now.monotonic;
@@ -738,10 +781,6 @@
     case StorePurpose::ClaimWrite:
         handleClaimWriteReply(node, reply, now);
         return true;
-    // Calls that were forwarded to the former leader. It may have executed them, so they are still never rejected.
-    for (auto &[call, entry] : node.entries) {
-        entry.sent = false;
-    }
     case StorePurpose::LoadJobs:
         handlePage(node, reply, now, ClaimPhase::LoadingJobs, purpose, jobPrefix, loadJobItem, [](Node &owner, Now at) {
             setPhase(owner, ClaimPhase::LoadingProgress, at.monotonic);
--- a/core/dispatch/leadership.h
+++ b/core/dispatch/leadership.h
@@ -33,7 +33,7 @@
 /// first time.
 void startLeading(Node &node, Now now);
 
-/// Requests a connection to the leader unless one was requested already.
-void dialLeader(Node &node);
+/// Requests a connection to the leader unless one was requested already or an attempt failed just before.
+void dialLeader(Node &node, Now now);
 
 } // namespace wigeonkeel::dispatch
--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -6,6 +6,7 @@
 #include "core/log.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include <fmt/format.h>
 
@@ -37,6 +38,9 @@
 constexpr milliseconds storeFailureReportDelay{650};
 /// A daemon that knows no leader dials a randomly chosen seed at this interval.
 constexpr milliseconds seedInterval{700};
+/// A daemon whose leader is missing tries the leader's endpoint and a seed in turn, for this long each. It covers the
+/// round trip between zones several times; a lost packet costs a turn.
+constexpr milliseconds leaderSearchTurn{300};
 /// A call that could not be sent to any leader is rejected after this. A takeover takes less than a second.
 constexpr milliseconds leaderlessCallTimeout{1100};
 constexpr milliseconds noLeaderRetryAfter{1000};
@@ -310,17 +314,39 @@
     setAdviceChannels(node.dispatcher->advisor, names);
 }
 
-void dialSeed(Node &node, Now now)
+/// Connects to a random seed other than this daemon, the known leader and the endpoint that was dialled last.
+void dialSeed(Node &node)
 {
-    if (node.options.seeds.empty() || now.monotonic < node.nextSeed) {
+    std::vector<Endpoint> others;
+    std::ranges::copy_if(node.options.seeds, std::back_inserter(others), [&node](const Endpoint &seed) {
+        return seed != node.options.endpoint && seed != node.dialled && seed != node.leadership.leader.endpoint;
+    });
+    if (!others.empty()) {
+        node.dialled = others[randomBelow(node.random, others.size())];
+        node.outbox.add(DialNode{.endpoint = node.dialled});
+    }
+}
+
+/// Connects to a daemon that knows the leader. A leader that was replaced may still accept connections, and a daemon
+/// that can't read the store learns from no one but the other daemons who leads now.
+void searchLeader(Node &node, Now now)
+{
+    Leadership &leadership = node.leadership;
+    if (leadership.leader.token == 0) {
+        if (now.monotonic >= node.nextSeed) {
+            node.nextSeed = now.monotonic + seedInterval;
+            dialSeed(node);
+        }
         return;
     }
-    node.nextSeed = now.monotonic + seedInterval;
-    const Endpoint &seed = node.options.seeds[randomBelow(node.random, node.options.seeds.size())];
-    if (!(seed == node.options.endpoint) && !(seed == node.dialled)) {
-        node.dialled = seed;
-        node.outbox.add(DialNode{.endpoint = seed});
+    leadership.leaderMissingSince = std::min(leadership.leaderMissingSince, now.monotonic);
+    const auto turn = (now.monotonic - leadership.leaderMissingSince) / leaderSearchTurn;
+    if (turn % 2 == 0) {
+        dialLeader(node, now);
+    } else if (turn != leadership.searchTurn) {
+        dialSeed(node);
     }
+    leadership.searchTurn = turn;
 }
 
 void tickReadiness(Node &node, Now now)
@@ -590,12 +616,10 @@
             stepDown(node, StepDownKind::Replaced, "a newer leader's orders or records were seen", now);
         }
     }
-    if (!isLeading(node) && !node.leadership.leaderConnected) {
-        if (node.leadership.leader.token == 0) {
-            dialSeed(node, now);
-        } else {
-            dialLeader(node);
-        }
+    if (isLeading(node) || node.leadership.leaderConnected) {
+        node.leadership.leaderMissingSince = MonotonicTime::max();
+    } else {
+        searchLeader(node, now);
     }
     sendWaitingCalls(node, now);
     expireEntries(node, now);
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -109,7 +109,15 @@
     std::vector<StoreItem> control;
     std::string loadAfter;
     std::map<JobId, JobRecord> loadedJobs;
+    /// Earliest time of the next attempt to connect to the leader.
+    MonotonicTime nextDial{};
+    /// Since when the connection to the leader is missing, and the last turn of the search for it.
+    MonotonicTime leaderMissingSince = MonotonicTime::max();
+    std::int64_t searchTurn = 0;
     std::map<JobId, std::string> loadedProgress;
+    /// The page of records to read again after a failure, and when.
+    std::optional<StorePurpose> failedLoad;
+    MonotonicTime failedLoadRetryAt{};
     MonotonicTime leadingSince{};
     MonotonicTime followersMissingSince = MonotonicTime::max();
 };
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -54,6 +54,8 @@
     bool lateOrdersReachNextIncarnation = false;
     /// Percentage of store writes that get no reply and are carried out 1 to 6 s later if their conditions still hold.
     std::uint64_t lateWritePercent = 0;
+    /// Messages between daemons are dropped unless a connection is open between them. Otherwise they always arrive.
+    bool messagesNeedConnections = false;
     /// How long the directory lists a worker that has crashed.
     milliseconds directoryDelay{0};
 };
--- a/tests/dispatch/dispatch_world_calls.cpp
+++ b/tests/dispatch/dispatch_world_calls.cpp
@@ -352,6 +352,11 @@
         milliseconds &arrival = nodes[i].peerArrivals[from];
         arrival = std::max(arrival, time + networkDelay + std::max(nodes[i].peerLatency, nodes[node].peerLatency));
         after(arrival - time, [this, i, from, receiver = nodes[i].node.get(), body = message.body] {
+        const bool isConnected = (nodes[node].connected && nodes[node].connectedTo == message.node)
+            || (nodes[i].connected && nodes[i].connectedTo == from);
+        if (rules.messagesNeedConnections && !isConnected) {
+            continue;
+        }
             if (!nodes[i].dropsPeerMessages) {
                 deliver(i, receiver, [from, body](Node &owner, Now at) { handlePeerMessage(owner, from, body, at); });
             }
