workers: time without reports is not time without progress

Cause: a task counts as stalled after 3 s without progress, by this daemon's clock. After a worker was silent, or this daemon paused, for that long, sound runs were stopped and started elsewhere before a list showed how far they were. Change: the time starts again when a worker answers after a failure, and after a gap of 1 s between two checks.

--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -134,6 +134,8 @@
     /// Jobs whose record of progress or end is due.
     absl::flat_hash_set<JobId> unstoredJobs;
     /// Calls that wait until the records of ended jobs are read.
+    /// When the runs of all workers were last checked.
+    MonotonicTime supervisedAt{};
     std::vector<ClientCall> deferredCalls;
     /// The time of day at the start of the monotonic clock, as last seen.
     WallTime wallOrigin{};
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -34,6 +34,9 @@
 /// advance by one percent in this time.
 constexpr milliseconds stallTime{3000};
 constexpr double stallWeight = 1.5;
+/// Usually workers are checked ten times a second. After a longer gap this process was paused, and what it knows of the
+/// workers is old.
+constexpr milliseconds maxSupervisionGap{1000};
 /// Added to the lease of an unreachable worker before its runs count as lost.
 constexpr milliseconds leaseMargin{100};
 
@@ -540,6 +543,17 @@
 }
 
 } // namespace
+/// Time in which the worker or this process reported or read nothing is not evidence that a task makes no progress.
+void restartProgressTimers(Dispatcher &dispatcher, WorkerSlot slot, MonotonicTime now)
+{
+    for (const auto &[key, run] : dispatcher.workers.workers[slot].runs) {
+        const TaskPlace place = findTask(dispatcher, key);
+        if (place && place.task->worker == slot) {
+            place.task->progressAt = now;
+        }
+    }
+}
+
 
 void inheritWorkers(Dispatcher &dispatcher, std::span<const WorkerEntry> entries)
 {
@@ -662,6 +676,9 @@
     worker.contacted = true;
     worker.contactedToken = worker.renewalToken;
     worker.inherited = false;
+    if (wasUnreachable) {
+        restartProgressTimers(dispatcher, slot, now);
+    }
     handleLists(dispatcher, slot, reply, worker.renewalSentAt, now);
     scheduleRenewal(worker, now);
     if (wasUnreachable) {
@@ -676,6 +693,11 @@
         concludeUnreachableRuns(dispatcher, slot, now);
         std::vector<TaskKey> keys;
         for (const auto &[key, run] : dispatcher.workers.workers[slot].runs) {
+    if (now - std::exchange(dispatcher.supervisedAt, now) > maxSupervisionGap) {
+        for (WorkerSlot slot = 0; slot < dispatcher.workers.workers.size(); ++slot) {
+            restartProgressTimers(dispatcher, slot, now);
+        }
+    }
             keys.push_back(key);
         }
         for (const TaskKey &key : keys) {
