dispatch: starts wait for the leader's link

In a burst starts, renewals and keep-alives queued up in the link and timed out, and each start that timed out cost a stop and another start. Timeouts of orders and renewals follow the latency of recent starts.

--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -4,6 +4,7 @@
 #include "core/dispatch/commit_streams.h"
 #include "core/dispatch/configuration.h"
 #include "core/dispatch/job_table.h"
+#include "core/dispatch/order_pace.h"
 #include "core/dispatch/outbox.h"
 #include "core/dispatch/records.h"
 #include "core/dispatch/worker_table.h"
@@ -12,8 +13,8 @@
 
 #include <cstdint>
 #include <deque>
-#include <span>
 #include <map>
+#include <span>
 #include <string>
 
 namespace wigeonkeel::dispatch
@@ -48,6 +49,7 @@
     std::uint32_t attempt = 0;
     /// Fencing token of the order. The leader's token is higher if the claim was written again since.
     std::uint64_t token = 0;
+    MonotonicTime sentAt{};
 };
 
 /// A client's call about a job that the leader doesn't know, while the job's records are read from the store.
@@ -59,8 +61,6 @@
     bool readingEnd = false;
 };
 
-struct DispatchCounters
-{
 /// A query of a running job that is answered once the job's end is stored.
 struct WaitingQuery
 {
@@ -68,6 +68,8 @@
     JobId job = 0;
 };
 
+struct DispatchCounters
+{
     std::uint64_t accepted = 0;
     std::uint64_t rejected = 0;
     std::uint64_t jobsDone = 0;
@@ -101,6 +103,7 @@
     Advisor advisor;
     CommitQueue commits;
     absl::flat_hash_map<CallId, OpenOrder> orders;
+    OrderLatency orderLatency;
     absl::flat_hash_map<CallId, WorkerSlot> renewals;
     /// Keyed by the id of the call to the store.
     absl::flat_hash_map<CallId, UnknownJobCall> unknownJobs;
@@ -131,18 +134,18 @@
     bool placementDue = false;
     MonotonicTime nextPlacement{};
     MonotonicTime nextSupervision{};
+    /// When the runs of all workers were last checked.
+    MonotonicTime supervisedAt{};
     /// Jobs whose record of progress or end is due.
     absl::flat_hash_set<JobId> unstoredJobs;
+    /// By the time at which they are answered even if the job still runs. Queries that were answered by the job's end
+    /// stay here until that time.
+    std::multimap<MonotonicTime, WaitingQuery> waitingQueries;
     /// Calls that wait until the records of ended jobs are read.
-    /// When the runs of all workers were last checked.
-    MonotonicTime supervisedAt{};
     std::vector<ClientCall> deferredCalls;
     /// The time of day at the start of the monotonic clock, as last seen.
     WallTime wallOrigin{};
     DispatchCounters counters;
-    /// By the time at which they are answered even if the job still runs. Queries that were answered by the job's end
-    /// stay here until that time.
-    std::multimap<MonotonicTime, WaitingQuery> waitingQueries;
 };
 
 /// Records a duration in the histogram of its kind.
--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -48,14 +48,14 @@
 /// fraction of it: a client's last attempt may have a tenth of a second, which is enough to accept a job.
 constexpr milliseconds answerMargin{150};
 constexpr int shortDeadlineDivisor = 4;
-/// During shutdown, all calls are answered this long before the platform kills the process. The process exits 0.2 s
-/// after that, which leaves time to write the answers.
-constexpr milliseconds shutdownAnswerMargin{900};
-/// After this long without a message from the leader, the daemon is not ready for new connections.
 /// Longest wait of a query for the end of its job: people take a longer delay for a stalled service. A wait is also
 /// limited to a fraction of the client's time, so that an answer that is lost leaves time for another query.
 constexpr milliseconds maxQueryWait{500};
 constexpr int queryWaitDivisor = 4;
+/// During shutdown, all calls are answered this long before the platform kills the process. The process exits 0.2 s
+/// after that, which leaves time to write the answers.
+constexpr milliseconds shutdownAnswerMargin{900};
+/// After this long without a message from the leader, the daemon is not ready for new connections.
 constexpr milliseconds readyWithoutLeader{3000};
 
 void setReady(Node &node, bool ready)
@@ -84,14 +84,14 @@
         // The leader's answer would come too late. A call that was never sent to a leader can be rejected instead.
         return;
     }
-    if (isLeading(node)) {
-        entry.sent = true;
-        entry.everSent = true;
-        handleClientCall(*node.dispatcher, entry.call, now);
     if (entry.call.kind == ClientCallKind::Query) {
         const auto fraction = std::chrono::floor<milliseconds>((due - now.monotonic) / queryWaitDivisor);
         entry.call.wait = std::min(maxQueryWait, fraction);
     }
+    if (isLeading(node)) {
+        entry.sent = true;
+        entry.everSent = true;
+        handleClientCall(*node.dispatcher, entry.call, now);
     } else if (node.leadership.leaderConnected) {
         entry.sent = true;
         entry.everSent = true;
@@ -604,6 +604,7 @@
     while (node.identity == 0) {
         node.identity = nextRandom(node.random);
     }
+    node.outbox.link.bytesPerSecond = node.options.linkBytesPerSecond;
     tickConfiguration(node, now);
     tickMembership(node, now);
     tickLeadership(node, now);
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -24,6 +24,8 @@
     std::vector<Endpoint> seeds;
     /// Processor share of this VM in thousandths of a core; daemons on the largest VMs claim leadership first.
     std::int64_t cpuMilli = 0;
+    /// Capacity of this VM's link; 0 if it is not known.
+    double linkBytesPerSecond = 0;
     DispatchBounds bounds;
     /// Time between the platform's termination signal and the moment it kills the process.
     milliseconds shutdownGrace{6000};
@@ -107,17 +109,17 @@
     bool claimUnwritten = false;
     MonotonicTime nextTokenTry{};
     std::vector<StoreItem> control;
-    std::string loadAfter;
-    std::map<JobId, JobRecord> loadedJobs;
     /// Earliest time of the next attempt to connect to the leader.
     MonotonicTime nextDial{};
     /// Since when the connection to the leader is missing, and the last turn of the search for it.
     MonotonicTime leaderMissingSince = MonotonicTime::max();
     std::int64_t searchTurn = 0;
-    std::map<JobId, std::string> loadedProgress;
+    std::string loadAfter;
     /// The page of records to read again after a failure, and when.
     std::optional<StorePurpose> failedLoad;
     MonotonicTime failedLoadRetryAt{};
+    std::map<JobId, JobRecord> loadedJobs;
+    std::map<JobId, std::string> loadedProgress;
     MonotonicTime leadingSince{};
     MonotonicTime followersMissingSince = MonotonicTime::max();
 };
--- a/core/dispatch/outbox.h
+++ b/core/dispatch/outbox.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/dispatch/messages.h"
+#include "core/dispatch/order_pace.h"
 #include "core/dispatch/peer_messages.h"
 
 #include <utility>
@@ -47,17 +48,23 @@
     ReadConfiguration, WatchConfiguration, ReadWorkers, StartRun, StopRun, RenewWorker, RequestAdvice, AnswerClient,
     LeaderAnswer, SendToNode, DialNode, ReadinessChanged, ObserveDuration>;
 
+/// Estimate of the bytes that carrying out the action sends over this daemon's link, with the heads of HTTP and TCP; 0
+/// if it sends nothing.
+std::size_t estimatedSize(const Action &action);
+
 /// Collects actions in the order in which they were decided, and numbers calls.
 struct Outbox
 {
     std::vector<Action> actions;
     CallId nextCall = 1;
+    LinkBudget link;
 
     CallId newCall() { return nextCall++; }
     template <typename T>
     void add(T &&action)
     {
         actions.emplace_back(std::forward<T>(action));
+        spend(link, estimatedSize(actions.back()));
     }
 };
 
--- a/core/dispatch/placement.cpp
+++ b/core/dispatch/placement.cpp
@@ -838,3 +838,9 @@
 }
 
 } // namespace wigeonkeel::dispatch
+    refill(dispatcher.outbox->link, now);
+        const bool canStart = dispatcher.orders.size() < maxOpenOrders && hasRoom(dispatcher.outbox->link);
+        // Steps without advice request it meanwhile.
+        if (!canStart && !(needsTicket(ready) && ready.step->allowed.empty())) {
+            continue;
+        }
--- a/core/dispatch/task_runs.cpp
+++ b/core/dispatch/task_runs.cpp
@@ -16,8 +16,6 @@
 /// A start that reaches the worker later than this is refused as late, so that an unanswered start is resolved
 /// soon.
 constexpr milliseconds startWindow{2000};
-/// Covers the round trip between zones and one resent packet.
-constexpr milliseconds orderTimeout{400};
 constexpr milliseconds firstRenewalDelay{100};
 /// Delay before a task whose run was lost or aborted is placed again.
 constexpr milliseconds retryDelay{50};
@@ -44,7 +42,7 @@
         .ticket = allowance == place.step->allowed.end() ? std::string() : allowance->second.ticket,
         .fencingToken = dispatcher.token,
         .leaseUntil = run.latestStart,
-        .timeout = orderTimeout};
+        .timeout = orderTimeout(dispatcher.orderLatency)};
     worker.startLease = std::max(worker.startLease, run.latestStart);
     worker.requestedLease = std::max(worker.requestedLease, run.latestStart);
     run.startCallOpen = true;
@@ -54,7 +52,8 @@
             .incarnation = worker.entry.incarnation,
             .task = key,
             .attempt = run.attempt,
-            .token = dispatcher.token});
+            .token = dispatcher.token,
+            .sentAt = run.orderedAt});
     ++dispatcher.counters.startsOrdered;
     dispatcher.outbox->add(std::move(order));
 }
@@ -218,14 +217,15 @@
         .task = key,
         .attempt = run.attempt,
         .fencingToken = dispatcher.token,
-        .timeout = orderTimeout};
+        .timeout = orderTimeout(dispatcher.orderLatency)};
     dispatcher.orders.emplace(order.call,
         OpenOrder{.isStart = false,
             .worker = slot,
             .incarnation = worker.entry.incarnation,
             .task = key,
             .attempt = run.attempt,
-            .token = dispatcher.token});
+            .token = dispatcher.token,
+            .sentAt = now});
     dispatcher.outbox->add(std::move(order));
     worker.nextRenewal = std::min(worker.nextRenewal, now);
     logLine(LogLevel::Info, logPart, "Stop ordered. task={} attempt={} worker={}", formatTaskKey(key), run.attempt,
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -15,7 +15,7 @@
 /// How long a worker may delay its reply while no run ends. The platform charges for each renewal, but progress is read
 /// by renewals too.
 constexpr milliseconds renewalWait{1200};
-/// Added to the wait; covers the round trip between zones and one resent packet.
+/// Least time added to the wait; covers the round trip between zones and one resent packet.
 constexpr milliseconds renewalSlack{500};
 constexpr milliseconds firstContactTimeout{400};
 constexpr milliseconds failedRenewalDelay{150};
@@ -428,8 +428,9 @@
     worker.previousRequestedLease = worker.requestedLease;
     // From a worker that did not answer, only its lists are requested: each further lease that it may have received
     // would delay the time at which its runs are certain to have ended.
+    const milliseconds slack = std::max(renewalSlack, orderTimeout(dispatcher.orderLatency));
     if (known && worker.renewalFailures > 0) {
-        call.timeout = renewalSlack;
+        call.timeout = slack;
     } else if (known) {
         const milliseconds lease = std::min(dispatcher.bounds.workerLease, dispatcher.bounds.maxWorkerLease);
         if (dispatcher.canExtendLeases) {
@@ -440,7 +441,7 @@
             = std::ranges::any_of(worker.runs, [](const auto &entry) { return isAwaitingList(entry.second); });
         const bool waits = !worker.runs.empty() && worker.ends.empty() && !listDue && !hasLateOrders(worker);
         call.wait = waits ? renewalWait : milliseconds(0);
-        call.timeout = call.wait + renewalSlack;
+        call.timeout = call.wait + slack;
     }
     if (call.acknowledged > worker.acknowledgementSent) {
         logLine(LogLevel::Info, logPart, "Ends acknowledged. worker={} incarnation={} up_to={} last_end={} token={}",
@@ -542,7 +543,6 @@
     }
 }
 
-} // namespace
 /// Time in which the worker or this process reported or read nothing is not evidence that a task makes no progress.
 void restartProgressTimers(Dispatcher &dispatcher, WorkerSlot slot, MonotonicTime now)
 {
@@ -554,6 +554,7 @@
     }
 }
 
+} // namespace
 
 void inheritWorkers(Dispatcher &dispatcher, std::span<const WorkerEntry> entries)
 {
@@ -609,6 +610,9 @@
     }
     const OpenOrder order = found->second;
     dispatcher.orders.erase(found);
+    if (order.isStart && (reply.status == CallStatus::Ok || reply.status == CallStatus::Refused)) {
+        recordStartReply(dispatcher.orderLatency, std::chrono::floor<milliseconds>(now - order.sentAt));
+    }
     // Placement may have stopped at the limit of open orders.
     dispatcher.placementDue = true;
     if (dispatcher.workers.workers[order.worker].entry.incarnation != order.incarnation) {
@@ -672,13 +676,13 @@
         dispatcher.placementDue = true;
     }
     const bool wasUnreachable = worker.renewalFailures > 0;
+    if (wasUnreachable) {
+        restartProgressTimers(dispatcher, slot, now);
+    }
     worker.renewalFailures = 0;
     worker.contacted = true;
     worker.contactedToken = worker.renewalToken;
     worker.inherited = false;
-    if (wasUnreachable) {
-        restartProgressTimers(dispatcher, slot, now);
-    }
     handleLists(dispatcher, slot, reply, worker.renewalSentAt, now);
     scheduleRenewal(worker, now);
     if (wasUnreachable) {
@@ -689,15 +693,15 @@
 
 void superviseWorkers(Dispatcher &dispatcher, MonotonicTime now)
 {
-    for (WorkerSlot slot = 0; slot < dispatcher.workers.workers.size(); ++slot) {
-        concludeUnreachableRuns(dispatcher, slot, now);
-        std::vector<TaskKey> keys;
-        for (const auto &[key, run] : dispatcher.workers.workers[slot].runs) {
     if (now - std::exchange(dispatcher.supervisedAt, now) > maxSupervisionGap) {
         for (WorkerSlot slot = 0; slot < dispatcher.workers.workers.size(); ++slot) {
             restartProgressTimers(dispatcher, slot, now);
         }
     }
+    for (WorkerSlot slot = 0; slot < dispatcher.workers.workers.size(); ++slot) {
+        concludeUnreachableRuns(dispatcher, slot, now);
+        std::vector<TaskKey> keys;
+        for (const auto &[key, run] : dispatcher.workers.workers[slot].runs) {
             keys.push_back(key);
         }
         for (const TaskKey &key : keys) {
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -151,6 +151,8 @@
     milliseconds peerLatency{0};
     /// When the last message of each daemon arrives; messages on one connection stay in order.
     std::map<std::string, milliseconds> peerArrivals;
+    /// When the last start that the daemon sent has left its link.
+    milliseconds linkFreeAt{0};
     /// Messages of other daemons do not arrive.
     bool dropsPeerMessages = false;
     /// Added to the daemon's time of day.
@@ -224,6 +226,8 @@
     milliseconds stopTime{200};
     /// Added to the time that starts take to reach a worker.
     milliseconds startDelay{0};
+    /// Time for which each start occupies the link of the daemon that sends it.
+    milliseconds startTransfer{0};
     /// Renewals that are sent to `delayedWorker` get no answer and are carried out this much later; 0 for none.
     milliseconds renewalDelay{0};
     std::size_t delayedWorker = 0;
--- a/tests/dispatch/dispatch_world_calls.cpp
+++ b/tests/dispatch/dispatch_world_calls.cpp
@@ -259,7 +259,10 @@
 
 void World::carryOut(std::size_t node, const StartRun &order)
 {
-    carryOutOrder(node, order.worker, startDelay, order.timeout, order.call, [this, order] { return start(order); });
+    milliseconds &linkFreeAt = nodes[node].linkFreeAt;
+    linkFreeAt = std::max(linkFreeAt, time) + startTransfer;
+    const milliseconds delay = startDelay + linkFreeAt - time;
+    carryOutOrder(node, order.worker, delay, order.timeout, order.call, [this, order] { return start(order); });
 }
 
 void World::carryOut(std::size_t node, const StopRun &order)
@@ -349,14 +352,14 @@
         if (!nodes[i].up || nodes[i].node->options.name != message.node) {
             continue;
         }
-        milliseconds &arrival = nodes[i].peerArrivals[from];
-        arrival = std::max(arrival, time + networkDelay + std::max(nodes[i].peerLatency, nodes[node].peerLatency));
-        after(arrival - time, [this, i, from, receiver = nodes[i].node.get(), body = message.body] {
         const bool isConnected = (nodes[node].connected && nodes[node].connectedTo == message.node)
             || (nodes[i].connected && nodes[i].connectedTo == from);
         if (rules.messagesNeedConnections && !isConnected) {
             continue;
         }
+        milliseconds &arrival = nodes[i].peerArrivals[from];
+        arrival = std::max(arrival, time + networkDelay + std::max(nodes[i].peerLatency, nodes[node].peerLatency));
+        after(arrival - time, [this, i, from, receiver = nodes[i].node.get(), body = message.body] {
             if (!nodes[i].dropsPeerMessages) {
                 deliver(i, receiver, [from, body](Node &owner, Now at) { handlePeerMessage(owner, from, body, at); });
             }
