placement: gangs pre-empt once no more advice would find room

Cause: in overload a gang asked for advice on 100 workers, a second a call, up to six times before it pre-empted; all steps with expired tickets asked for the same free room. Change: a gang pre-empts on the workers that it knows unless one more call probably finds free room. Room by pre-emption counts for the length of the list when free room does not suffice. A step that renews tickets reserves the room, and planned tasks count for the limit per worker. Tests: AdviceOverload.AGangPreemptsOnTheWorkersThatItKnows, AGangAsksAboutMoreWorkersWhileTheyHaveRoom, StepsDoNotRenewTicketsForTheSameRoom failed without their changes; PlannedTasksCountForTheLimitPerWorker was not seen to fail.

--- a/core/dispatch/placement.cpp
+++ b/core/dispatch/placement.cpp
@@ -206,18 +206,57 @@
     return std::max(minAdviceWorkers, static_cast<std::size_t>(wanted) + 1);
 }
 
-/// Shortens the list, but keeps enough workers that the gang probably fits on those that the adviser allows.
-void trimAdviceForGang(const Dispatcher &dispatcher, const ReadyStep &ready, std::vector<WorkerSlot> &workers)
+/// Compares the configured priorities of the queues, not the ranks. A job that is late never pre-empts others.
+bool canPreempt(const ReadyStep &ready, const Run &run, MonotonicTime now)
+{
+    return run.phase == RunPhase::Running && run.preemptible && run.priority > ready.queue->priority
+        && ready.rank < lateRank && (run.checkpointed || now - run.startedAt < maxLostWork);
+}
+
+/// Room that stopping all less urgent runs on the worker would free.
+Resources preemptibleRoom(const Dispatcher &dispatcher, const ReadyStep &ready, WorkerSlot slot, MonotonicTime now)
+{
+    Resources room;
+    for (const auto &[key, run] : dispatcher.workers.workers[slot].runs) {
+        if (canPreempt(ready, run, now)) {
+            room += run.size;
+        }
+    }
+    return room;
+}
+
+/// Number of workers at the front of the list of which so many are probably allowed that the gang fits on them. More
+/// than the list has if it is too short.
+template <typename RoomOf>
+std::size_t workersForGang(
+    const Dispatcher &dispatcher, const ReadyStep &ready, std::span<const WorkerSlot> workers, RoomOf roomOf)
 {
     const double share = std::max(minAllowedShare, allowedShare(dispatcher.advisor, ready.queue->name));
     const auto members = static_cast<std::uint32_t>(ready.step->tasks.size());
     double likely = 0;
     std::size_t count = 0;
-    while (count < workers.size() && (count < minGangWorkers || likely < gangSurplus * members)) {
-        const Worker &worker = dispatcher.workers.workers[workers[count++]];
-        likely += share * countFitting(chargedSize(*ready.spec), freeRoom(worker), members);
+    while (count < minGangWorkers || likely < gangSurplus * members) {
+        if (count == workers.size()) {
+            return count + 1;
+        }
+        likely += share * countFitting(chargedSize(*ready.spec), roomOf(workers[count++]), members);
     }
-    workers.resize(count);
+    return count;
+}
+
+/// Shortens the list to the workers that the gang probably needs: each worker makes the call longer. If they have too
+/// little free room, the room counts that the gang can get by pre-emption.
+void trimAdviceForGang(
+    const Dispatcher &dispatcher, const ReadyStep &ready, std::vector<WorkerSlot> &workers, MonotonicTime now)
+{
+    const auto freeOf = [&](WorkerSlot slot) { return freeRoom(dispatcher.workers.workers[slot]); };
+    const auto obtainableOf
+        = [&](WorkerSlot slot) { return freeOf(slot) + preemptibleRoom(dispatcher, ready, slot, now); };
+    std::size_t count = workersForGang(dispatcher, ready, workers, freeOf);
+    if (count > std::min(workers.size(), maxAdviceWorkers)) {
+        count = workersForGang(dispatcher, ready, workers, obtainableOf);
+    }
+    workers.resize(std::min(workers.size(), count));
 }
 
 /// Requests advice for workers without a reply for this step so far. False if there are no such workers. True without a
@@ -236,7 +275,7 @@
         return false;
     }
     if (ready.spec->gang) {
-        trimAdviceForGang(dispatcher, ready, workers);
+        trimAdviceForGang(dispatcher, ready, workers, now);
     } else {
         workers.resize(std::min(workers.size(), adviceWorkerCount(dispatcher, ready)));
     }
@@ -246,11 +285,12 @@
 
 void reserve(Dispatcher &dispatcher, const ReadyStep &ready, std::span<const PlannedPlace> plan, MonotonicTime until)
 {
+    const bool hadPlan = !ready.step->plan.empty();
     for (const PlannedPlace &planned : plan) {
         dispatcher.workers.workers[planned.worker].reserved += chargedSize(*ready.spec);
         ready.step->plan.push_back(planned);
     }
-    ready.step->planUntil = until;
+    ready.step->planUntil = hadPlan ? std::max(ready.step->planUntil, until) : until;
 }
 
 TaskPlace placeOf(const ReadyStep &ready, std::uint32_t index)
@@ -331,25 +371,13 @@
     }
 }
 
-/// Compares the configured priorities of the queues, not the ranks. A job that is late never pre-empts others.
-bool canPreempt(const ReadyStep &ready, const Run &run, MonotonicTime now)
-{
-    return run.phase == RunPhase::Running && run.preemptible && run.priority > ready.queue->priority
-        && ready.rank < lateRank && (run.checkpointed || now - run.startedAt < maxLostWork);
-}
-
 /// Room of each worker, by slot, as if all less urgent runs on allowed workers were stopped.
 std::vector<Resources> roomAfterPreemption(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
 {
     std::vector<Resources> room = roomOfWorkers(dispatcher);
     for (WorkerSlot slot = 0; slot < room.size(); ++slot) {
-        if (!isAllowed(ready, slot)) {
-            continue;
-        }
-        for (const auto &[key, run] : dispatcher.workers.workers[slot].runs) {
-            if (canPreempt(ready, run, now)) {
-                room[slot] += run.size;
-            }
+        if (isAllowed(ready, slot)) {
+            room[slot] += preemptibleRoom(dispatcher, ready, slot, now);
         }
     }
     return room;
@@ -407,6 +435,26 @@
     return true;
 }
 
+/// Whether the free room of the allowed workers, together with that of the workers which one more request would add,
+/// probably holds the gang.
+bool canAdviceFindRoom(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
+{
+    const Resources size = chargedSize(*ready.spec);
+    const auto members = static_cast<std::uint32_t>(ready.step->tasks.size());
+    const auto fittingOn
+        = [&](WorkerSlot slot) { return countFitting(size, freeRoom(dispatcher.workers.workers[slot]), members); };
+    double likely = 0;
+    for (const auto &[slot, allowance] : ready.step->allowed) {
+        likely += fittingOn(slot);
+    }
+    const double share = allowedShare(dispatcher.advisor, ready.queue->name);
+    const std::vector<WorkerSlot> others = workersWithoutAdvice(dispatcher, ready, true, now);
+    for (const WorkerSlot slot : std::span(others).first(std::min(others.size(), maxAdviceWorkers))) {
+        likely += share * fittingOn(slot);
+    }
+    return !others.empty() && likely >= members;
+}
+
 void placeWholeGang(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
 {
     const bool hasUnknownRuns
@@ -435,12 +483,21 @@
         }
         return;
     }
-    if (needsTicket(ready) && requestMoreAdvice(dispatcher, ready, now)) {
+    if (ready.step->adviceOpen) {
+        return;
+    }
+    // Without free room, pre-emption comes before further advice: each call takes about a second, and the room that it
+    // finds is mostly taken before the reply.
+    if (needsTicket(ready) && canAdviceFindRoom(dispatcher, ready, now)) {
+        requestMoreAdvice(dispatcher, ready, now);
         return;
     }
     plan = placeGang(dispatcher, ready, roomAfterPreemption(dispatcher, ready, now), now);
-    if (plan) {
-        preemptForPlan(dispatcher, ready, *plan, now);
+    if (plan && preemptForPlan(dispatcher, ready, *plan, now)) {
+        return;
+    }
+    if (needsTicket(ready)) {
+        requestMoreAdvice(dispatcher, ready, now);
     }
 }
 
@@ -548,6 +605,13 @@
         }
         room[found.slot] -= chargedSize(*ready.spec);
         if (!found.hasTicket) {
+            if (ready.isAdviceNext) {
+                // Without the reservation, all waiting steps would renew tickets for the same room, and all but one of
+                // the calls would be wasted.
+                const PlannedPlace place{.task = index, .worker = found.slot};
+                const milliseconds wait = adviceTime(ready, expired.size() + 1) + planSlack;
+                reserve(dispatcher, ready, std::span(&place, 1), now + wait);
+            }
             if (std::ranges::find(expired, found.slot) == expired.end()) {
                 expired.push_back(found.slot);
             }
@@ -611,7 +675,8 @@
 {
     const auto there = std::ranges::count_if(
         step.tasks, [slot](const Task &task) { return task.phase == TaskPhase::Assigned && task.worker == slot; });
-    return static_cast<std::uint32_t>(there);
+    const auto planned = std::ranges::count(step.plan, slot, &PlannedPlace::worker);
+    return static_cast<std::uint32_t>(there + planned);
 }
 
 namespace
@@ -810,17 +875,20 @@
     if (dispatcher.deposed || !dispatcher.canExtendLeases) {
         return;
     }
+    refill(dispatcher.outbox->link, now);
     // Limits open orders, because the many starts of a backlog after an outage would delay all other work of the loop.
     // Replies to open orders make room for the next ones.
     std::size_t blocked = 0;
     for (const ReadyStep &ready : readySteps(dispatcher, now)) {
-        if (dispatcher.orders.size() >= maxOpenOrders) {
-            break;
-        }
         const std::uint32_t waiting = ready.step->waiting;
         if (awaitsAdvice(dispatcher, ready, now)) {
             continue;
         }
+        const bool canStart = dispatcher.orders.size() < maxOpenOrders && hasRoom(dispatcher.outbox->link);
+        // Steps without advice request it meanwhile.
+        if (!canStart && !(needsTicket(ready) && ready.step->allowed.empty())) {
+            continue;
+        }
         placeStep(dispatcher, ready, now);
         if (needsTicket(ready) && ready.step->allowed.empty()) {
             continue;
@@ -838,9 +906,3 @@
 }
 
 } // namespace wigeonkeel::dispatch
-    refill(dispatcher.outbox->link, now);
-        const bool canStart = dispatcher.orders.size() < maxOpenOrders && hasRoom(dispatcher.outbox->link);
-        // Steps without advice request it meanwhile.
-        if (!canStart && !(needsTicket(ready) && ready.step->allowed.empty())) {
-            continue;
-        }
--- a/core/dispatch/placement.h
+++ b/core/dispatch/placement.h
@@ -33,7 +33,7 @@
 /// Number of tasks of this size that fit into the room, at most `limit`.
 std::uint32_t countFitting(const Resources &size, const Resources &room, std::uint32_t limit);
 
-/// Number of the step's tasks that are assigned to the worker.
+/// Number of the step's tasks that are assigned to the worker or planned there.
 std::uint32_t tasksOnWorker(const StepRun &step, WorkerSlot slot);
 
 /// Places for all members of a gang within the given room of the allowed workers; nothing if not all of them fit. To
--- a/tests/dispatch/advice_channels_test.cpp
+++ b/tests/dispatch/advice_channels_test.cpp
@@ -284,6 +284,131 @@
     CHECK(step.adviceOpen);
 }
 
+namespace
+{
+
+JobSpec fillerOf(std::uint32_t tasks, bool checkpointed)
+{
+    JobSpec filler{.payload = "f", .steps = {stepOf(tasks, 1000, milliseconds(30000))}};
+    filler.steps[0].checkpointed = checkpointed;
+    return filler;
+}
+
+} // namespace
+
+// Guards against gangs that are late because they ask for the advice on all workers, one call after the other, before
+// they pre-empt less urgent runs on those that they may use.
+TEST(AdviceOverload, AGangPreemptsOnTheWorkersThatItKnows)
+{
+    constexpr std::uint32_t workers = 250;
+    constexpr std::uint32_t coresPerWorker = 4;
+    World world(2, workers);
+    world.configuration.queues.push_back(queueOf("ledger", 1, 2.2,
+        {.base = milliseconds(390),
+            .perWorker = std::chrono::microseconds(5600),
+            .ticketValidity = milliseconds(1500)}));
+    indexQueues(world.configuration);
+    world.adviceTakesTime = true;
+    world.allowedPercent = 30;
+    world.run(settleTime);
+    constexpr std::uint32_t tasksOfFiller = 50;
+    constexpr std::uint32_t fillerTasks = workers * coresPerWorker;
+    for (JobId id = 1; id <= fillerTasks / tasksOfFiller; ++id) {
+        world.submit(0, id, fillerOf(tasksOfFiller, true), "batch");
+    }
+    CHECK(world.runUntil([&world] { return world.starts == fillerTasks; }, milliseconds(5000)));
+    world.run(milliseconds(500));
+    StepSpec gang = stepOf(8, 2000, milliseconds(4000));
+    gang.gang = true;
+    world.submit(0, 0x100, {.payload = "g", .steps = {gang}}, "ledger");
+    // One call, the stops, and half a second for messages and turns.
+    const milliseconds wait = milliseconds(390 + 560) + world.stopTime + milliseconds(500);
+    CHECK(world.runUntil([&world] { return world.starts == fillerTasks + 8; }, wait));
+    CHECK_EQUAL(1, world.adviceCalls.size());
+    checkNoViolations(world);
+}
+
+// Guards against work that is thrown away on a day without overload: a gang pre-empted others although the workers that
+// it had not asked about had room.
+TEST(AdviceOverload, AGangAsksAboutMoreWorkersWhileTheyHaveRoom)
+{
+    constexpr std::uint32_t workers = 200;
+    World world(2, workers);
+    world.configuration.queues.push_back(queueOf("ledger", 1, 2.2,
+        {.base = milliseconds(100), .perWorker = milliseconds(1), .ticketValidity = milliseconds(1500)}));
+    indexQueues(world.configuration);
+    world.adviceTakesTime = true;
+    world.allowedPercent = 15;
+    world.run(settleTime);
+    JobSpec filler = fillerOf(workers, true);
+    filler.steps[0].maxPerWorker = 1;
+    world.submit(0, 1, filler, "batch");
+    CHECK(world.runUntil([&world] { return world.starts == workers; }, milliseconds(3000)));
+    // One member fits on a worker beside the filler, two without it.
+    StepSpec gang = stepOf(20, 2000, milliseconds(4000));
+    gang.gang = true;
+    world.submit(0, 0x100, {.payload = "g", .steps = {gang}}, "ledger");
+    CHECK(world.runUntil([&world] { return world.starts == workers + 20; }, milliseconds(2000)));
+    CHECK_EQUAL(0, world.leader()->dispatcher->counters.preempted);
+    checkNoViolations(world);
+}
+
+// Guards against more tasks of a step on one worker than allowed: tasks that wait there for a ticket count too.
+TEST(AdviceOverload, PlannedTasksCountForTheLimitPerWorker)
+{
+    World world(2, 6);
+    world.configuration.queues.push_back(
+        queueOf("slow", 3, 4.0, {.base = milliseconds(150), .ticketValidity = milliseconds(1500)}));
+    indexQueues(world.configuration);
+    world.adviceTakesTime = true;
+    world.allowedPercent = 100;
+    world.run(settleTime);
+    world.submit(0, 0x100, fillerOf(24, false), "batch");
+    CHECK(world.runUntil([&world] { return world.starts == 24; }, settleTime));
+    JobSpec spread{.payload = "s", .steps = {stepOf(4, 1000, milliseconds(10000))}};
+    spread.steps[0].maxPerWorker = 1;
+    world.submit(0, 1, spread, "slow");
+    // The tickets expire, and two workers get room for four tasks each.
+    world.run(milliseconds(4000));
+    for (const std::size_t worker : {std::size_t{0}, std::size_t{1}}) {
+        for (WorldRun &run : world.workers[worker].runs) {
+            run.done = run.work;
+        }
+    }
+    world.run(milliseconds(1500));
+    for (const WorldWorker &worker : world.workers) {
+        const auto there
+            = std::ranges::count(worker.runs, JobId{1}, [](const WorldRun &run) { return run.task.step.job; });
+        CHECK(there <= 1);
+    }
+    CHECK_EQUAL(26, world.starts);
+}
+
+// Guards against advice that is wasted in overload: all steps with expired tickets asked for the same free room, and
+// only one of them got it.
+TEST(AdviceOverload, StepsDoNotRenewTicketsForTheSameRoom)
+{
+    constexpr JobId waitingJobs = 10;
+    World world(5, 3);
+    world.configuration.queues.push_back(
+        queueOf("slow", 3, 4.0, {.base = milliseconds(150), .ticketValidity = milliseconds(1500)}));
+    indexQueues(world.configuration);
+    world.adviceTakesTime = true;
+    world.allowedPercent = 100;
+    world.run(settleTime);
+    world.submit(0, 0x100, fillerOf(12, false), "batch");
+    CHECK(world.runUntil([&world] { return world.starts == 12; }, settleTime));
+    for (JobId id = 1; id <= waitingJobs; ++id) {
+        world.submit(0, id, {.payload = "x", .steps = {stepOf(1, 1000, milliseconds(20000))}}, "slow");
+    }
+    world.run(milliseconds(5000));
+    const std::size_t before = world.adviceCalls.size();
+    world.workers[0].runs.front().done = world.workers[0].runs.front().work;
+    CHECK(world.runUntil([&world] { return world.starts == 13; }, milliseconds(1000)));
+    CHECK_EQUAL(before + 1, world.adviceCalls.size());
+    checkNoViolations(world);
+}
+
 // Guards against a channel that stays idle, or a call that is wasted, because a request is no longer needed.
 TEST(AdviceOverload, ARequestThatIsNoLongerNeededIsNotSent)
 {
