--- a/tests/dispatch/advice_channels_test.cpp
+++ b/tests/dispatch/advice_channels_test.cpp
@@ -294,6 +294,17 @@
     return filler;
 }
 
+/// Adds a queue "slow" whose tickets are valid on all workers for 1.5 s.
+void setUpExpiringTickets(World &world)
+{
+    world.configuration.queues.push_back(
+        queueOf("slow", 3, 4.0, {.base = milliseconds(150), .ticketValidity = milliseconds(1500)}));
+    indexQueues(world.configuration);
+    world.adviceTakesTime = true;
+    world.allowedPercent = 100;
+    world.run(settleTime);
+}
+
 } // namespace
 
 // Guards against gangs that are late because they ask for the advice on all workers, one call after the other, before
@@ -357,12 +368,7 @@
 TEST(AdviceOverload, PlannedTasksCountForTheLimitPerWorker)
 {
     World world(2, 6);
-    world.configuration.queues.push_back(
-        queueOf("slow", 3, 4.0, {.base = milliseconds(150), .ticketValidity = milliseconds(1500)}));
-    indexQueues(world.configuration);
-    world.adviceTakesTime = true;
-    world.allowedPercent = 100;
-    world.run(settleTime);
+    setUpExpiringTickets(world);
     world.submit(0, 0x100, fillerOf(24, false), "batch");
     CHECK(world.runUntil([&world] { return world.starts == 24; }, settleTime));
     JobSpec spread{.payload = "s", .steps = {stepOf(4, 1000, milliseconds(10000))}};
@@ -390,12 +396,7 @@
 {
     constexpr JobId waitingJobs = 10;
     World world(5, 3);
-    world.configuration.queues.push_back(
-        queueOf("slow", 3, 4.0, {.base = milliseconds(150), .ticketValidity = milliseconds(1500)}));
-    indexQueues(world.configuration);
-    world.adviceTakesTime = true;
-    world.allowedPercent = 100;
-    world.run(settleTime);
+    setUpExpiringTickets(world);
     world.submit(0, 0x100, fillerOf(12, false), "batch");
     CHECK(world.runUntil([&world] { return world.starts == 12; }, settleTime));
     for (JobId id = 1; id <= waitingJobs; ++id) {
