--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -208,6 +208,7 @@
         self.name = name
         self.ip = ip
         self.process = None
+        self.memory_kills = 0
 
     def listen(self):
         return {"frontend": f"{self.ip}:8161", "readiness": f"{self.ip}:8167", "control": f"{self.ip}:8166"}
@@ -244,6 +245,13 @@
         self.deployment.record.note(f"daemon {self.name} gets {signal.Signals(number).name}")
         self.process.send_signal(number)
 
+    def memory_mb(self):
+        try:
+            status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return 0
+        return next((int(line.split()[1]) // 1024 for line in status.splitlines() if line.startswith("VmRSS:")), 0)
+
     async def is_ready(self):
         try:
             return (await HttpClient(self.ip, 8167).request("GET", "/v1/readyz", {}, None, 1.0))[0] == 200
@@ -318,17 +326,36 @@
                 if worker.up:
                     worker.register()
 
+    async def limit_memory(self, limit_mb=260):
+        """As the platform does: a process that exceeds its memory is killed, and started again after a short delay."""
+        while True:
+            for daemon in self.daemons:
+                used = daemon.memory_mb() if daemon.is_up() else 0
+                if used > limit_mb:
+                    self.record.note(f"daemon {daemon.name} uses {used} MB of {limit_mb} MB and is killed")
+                    daemon.memory_kills += 1
+                    daemon.process.kill()
+                    await daemon.process.wait()
+                    asyncio.get_running_loop().call_later(0.5, lambda each=daemon: asyncio.ensure_future(each.start()))
+            await asyncio.sleep(0.02)
+
     def remove_entry(self, worker):
         """The platform removes an entry after three heartbeats that didn't come."""
         self.record.note(f"the entry of worker {worker.name} is removed")
         self.store.drop(f"servers/{worker.name}")
 
+    def leader(self):
+        """The daemon whose claim is in the store."""
+        item = self.store.items.get("wk/ctl/leader")
+        name = base64.b64decode(item["value"]).decode().split(" ")[0] if item else ""
+        return next((daemon for daemon in self.daemons if daemon.name == name), None)
+
     # --- consumers ---
 
     async def call(self, method, route, job, body=None, daemon=None, timeout=3.0):
         """Status and body; (0, {}) without an answer. Daemons are used in turn."""
         if daemon is None:
-            ready = [each for each in self.daemons if each.is_up()]
+            ready = [each for each in self.daemons if each.is_up()] or self.daemons
             daemon = ready[self.next_daemon % len(ready)]
             self.next_daemon += 1
         client = HttpClient(daemon.ip, 8161)
