--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,68 +1,87 @@
 """See claim.txt."""
 
 import asyncio
-import json
 import pathlib
-import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins"))
 
-from deployment import BOUNDS, HOST, CannotRun, Deployment, play
+from deployment import BOUNDS, HOST, Deployment, play
 
 ROUTES = [{"name": "reserve", "host": HOST, "prefix": "/reserve/", "service": "desk", "priority": 0, "maxAttempts": 4,
-           "stretch": 1.5, "targetDurationMs": 300}]
-TASK = {"cpu": 1000, "ms": 400, "fails": False}
-# A quarter of the consumers leaves before the time budget; these cancel their jobs.
-CONSUMERS = 20
-LEAVING = 5
-FREEZE_S = 4.0
-PATIENCE_S = 0.15
+           "stretch": 4.0, "targetDurationMs": 1000},
+          {"name": "laundry", "host": HOST, "prefix": "/laundry/", "service": "desk", "priority": 2, "maxAttempts": 4,
+           "stretch": 4.0, "targetDurationMs": 1000}]
+# Work for which only one worker has the label: 75 of these fit on it at once.
+LABELLED = {"cpu": 200, "ms": 20000, "fails": False}
+LABELLED_JOBS = 75
+PLAIN = {"cpu": 1000, "ms": 400, "fails": False}
+# Seconds of traffic, and when the worker is lost.
+TRAFFIC_S = 20.0
+LOSS_AT_S = 5.0
+PLAIN_PER_S = 2
+WATCH_S = 5.0
 
 
 def make():
-    return Deployment(pathlib.Path(__file__).parent, ROUTES, [("a", f"r{i // 3 + 1}") for i in range(6)])
+    # One worker of eight is lost: 12.5%. The other seven can run all jobs but the labelled ones.
+    return Deployment(pathlib.Path(__file__).parent, ROUTES, [("b", "r1")] + [("a", f"r{i // 3 + 1}") for i in range(7)])
 
 
-async def hand_in_and_cancel(deployment, number, first, second):
-    """A consumer hands a job in at one daemon, leaves without an answer, and cancels the job at another daemon. Returns the
-    job and when the cancelling was acknowledged."""
-    job = f"{number + 1:016x}"
-    body = {"spec": json.dumps(TASK),
-            "steps": [{"count": 2, "cpu": TASK["cpu"], "memMb": 200, "estimateMs": TASK["ms"]}]}
-    await deployment.call("POST", "reserve", job, body, first, PATIENCE_S)
-    status, _ = await deployment.call("DELETE", "reserve", job, None, second)
-    if status not in (200, 410):
-        raise CannotRun(f"the cancelling was answered {status}")
-    return job, deployment.record.now()
+async def hand_in_labelled(deployment):
+    step = {"count": 1, "cpu": LABELLED["cpu"], "memMb": 200, "estimateMs": LABELLED["ms"], "requiredLabel": "b"}
+    calls = []
+    for _ in range(LABELLED_JOBS):
+        calls.append(asyncio.ensure_future(deployment.submit("reserve", LABELLED, [step])))
+        await asyncio.sleep(10.0 / LABELLED_JOBS)
+    await asyncio.gather(*calls)
+
+
+async def hand_in_plain(deployment, plain):
+    step = {"count": 1, "cpu": PLAIN["cpu"], "memMb": 200, "estimateMs": PLAIN["ms"]}
+    for _ in range(int(TRAFFIC_S * PLAIN_PER_S)):
+        plain.append(await deployment.submit("laundry", PLAIN, [step]))
+        await asyncio.sleep(1 / PLAIN_PER_S)
+
+
+async def lose_worker(deployment):
+    await asyncio.sleep(LOSS_AT_S)
+    await deployment.workers[0].crash()
+    # After three heartbeats that didn't come.
+    await asyncio.sleep(4.5)
+    deployment.remove_entry(deployment.workers[0])
 
 
 async def story(deployment):
     record = deployment.record
-    await asyncio.sleep(1.0)
-    leader = deployment.leader()
-    if leader is None:
-        raise CannotRun("no daemon leads")
-    frozen, calm = [daemon for daemon in deployment.daemons if daemon is not leader]
+    plain = []
+    parts = [hand_in_labelled(deployment), hand_in_plain(deployment, plain)]
     if deployment.trouble:
-        frozen.signal(signal.SIGSTOP)
-        asyncio.get_running_loop().call_later(FREEZE_S, frozen.signal, signal.SIGCONT)
-    step = {"count": 2, "cpu": TASK["cpu"], "memMb": 200, "estimateMs": TASK["ms"]}
-    others = [asyncio.ensure_future(deployment.submit("reserve", TASK, [step])) for _ in range(CONSUMERS - LEAVING)]
-    cancelled = await asyncio.gather(
-        *(hand_in_and_cancel(deployment, number, frozen, calm) for number in range(LEAVING)))
-    await asyncio.gather(*others)
-    await asyncio.sleep(FREEZE_S + 3.0)
-    # Rule UNASKED: no task starts later than cancel_ms after the job's cancelling was acknowledged.
-    late = []
-    for job, acknowledged in cancelled:
-        late += [(job, start[0] - acknowledged) for start in deployment.starts_of(job)
-                 if start[0] > acknowledged + BOUNDS["cancel_ms"] / 1000]
-    if not late:
+        parts.append(lose_worker(deployment))
+    await asyncio.gather(*parts)
+    record.note("the traffic has ended")
+    await asyncio.sleep(BOUNDS["finish_s"])
+    for job in plain:
+        await deployment.query(job)
+    waiting = [job for job in plain if deployment.jobs[job]["accepted"] and not deployment.starts_of(job)]
+    record.note(f"{len(waiting)} of {len(plain)} plain jobs have not begun")
+    # Rule LOST: for 3 s on end nothing of the job runs, less than half of the service is in use, and there is room for
+    # twice the job.
+    watched_from = record.now()
+    while waiting and record.now() - watched_from < WATCH_S:
+        up = [worker for worker in deployment.workers if worker.up]
+        roomy = sum(deployment.free_cpu(worker) // PLAIN["cpu"] for worker in up) >= 2
+        idle = deployment.used_cpu() * 2 < sum(worker.cpu for worker in up)
+        if not (roomy and idle):
+            return None
+        waiting = [job for job in waiting if not deployment.starts_of(job)]
+        await asyncio.sleep(0.1)
+    if not waiting:
         return None
-    status, content = await deployment.call("GET", "reserve", late[0][0])
-    return (f"UNASKED: {len(late)} tasks of {len({job for job, _ in late})} cancelled jobs were started, the first "
-            f"{late[0][1]:.1f} s after its job's cancelling was acknowledged; it is shown as {status} {content}")
+    _, content = await deployment.query(waiting[0])
+    return (f"LOST: {len(waiting)} accepted jobs that seven workers could run had nothing running for {WATCH_S:.0f} s, "
+            f"later than {BOUNDS['finish_s']} s after the end of the traffic, with {deployment.used_cpu()} of "
+            f"{sum(worker.cpu for worker in up)} thousandths of a core in use; the first is shown as {content['state']}")
 
 
 play(make, story)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -35,6 +35,9 @@
           "paceMs": 100, "harmMs": 4000}
 
 
+VALUE_BYTES = 1048576
+
+
 class CannotRun(Exception):
     """The case could not be played: nothing was learnt about the rule."""
 
@@ -53,6 +56,18 @@
         self.file.write(f"{self.now():8.3f} {text}\n")
 
 
+class BoundedStore(Store):
+    """The project's stand-in, which also refuses values that are larger than `valueBytes`."""
+
+    def transact(self, content):
+        for row in content.get("writes", []):
+            size = len(row["value"]) * 3 // 4 - row["value"].count("=")
+            if size > VALUE_BYTES:
+                self.note(f"the store refuses a value of {size} bytes for {row['key']}: 400")
+                return 400, {}
+        return super().transact(content)
+
+
 class Run:
     def __init__(self, task, attempt, plan, checkpoint, now):
         self.task = task
@@ -86,6 +101,9 @@
         # (time, task, attempt, labels of this life) of each start, and (time, task, attempt, how) of each end.
         self.starts = []
         self.history = []
+        # (time, task, attempt, time of the end) of each end as done that a daemon took note of, in a lease that lasted from
+        # the end until then.
+        self.noted = []
 
     async def start(self):
         """Begins a life, which holds and knows nothing of a former one."""
@@ -97,6 +115,8 @@
         self.token = 0
         self.until = 0
         self.ended_attempts = {}
+        # By number: time, task and attempt of the ends as done that nobody has taken note of while the lease lasted.
+        self.unnoted = {}
         self.ended = asyncio.Event()
         self.server = HttpServer(self.take)
         await self.server.start(self.ip, 8200)
@@ -128,12 +148,16 @@
         self.ended_attempts[run.task] = max(self.ended_attempts.get(run.task, 0), run.attempt)
         self.ends.append([self.number, run.task, run.attempt, how, run.checkpoint])
         self.history.append((self.record.now(), run.task, run.attempt, how))
+        if how == "done":
+            self.unnoted[self.number] = (self.record.now(), run.task, run.attempt)
         self.record.note(f"worker {self.name} ends {run.task} attempt {run.attempt}: {how}")
         self.ended.set()
         self.ended = asyncio.Event()
 
     def turn(self):
         now = time.monotonic()
+        if self.clock() > self.until:
+            self.unnoted.clear()
         for run in list(self.runs.values()):
             if self.clock() > self.until:
                 self.end(run, "lapsed")
@@ -189,6 +213,9 @@
 
     async def hold(self, content):
         self.until = max(self.until, min(content.get("untilMs", 0), self.clock() + BOUNDS["holdMaxMs"]))
+        for number in [number for number in self.unnoted if number <= content["lastSeen"]]:
+            ended_at, task, attempt = self.unnoted.pop(number)
+            self.noted.append((self.record.now(), task, attempt, ended_at))
         self.ends = [end for end in self.ends if end[0] > content["lastSeen"]]
         if not self.ends and content.get("waitMs"):
             try:
@@ -199,6 +226,8 @@
             return NO_ANSWER
         now = time.monotonic()
         rows = [[run.task, run.attempt, run.checkpoint, run.percent(now), run.plan["cpu"]] for run in self.runs.values()]
+        self.record.note(f"worker {self.name} answers a hold of token {self.token}: {len(rows)} running, "
+                         f"{min(500, len(self.ends))} of {len(self.ends)} ends listed, lastSeen was {content['lastSeen']}")
         return 200, {"clockMs": self.clock(), "born": self.born, "running": rows, "finished": self.ends[:500]}
 
 
@@ -228,7 +257,7 @@
                     "faultTolerance": {"machines": 2, "zones": 0, "regions": 0}, "bounds": BOUNDS, "commandMode": "call",
                     "advice": f"{self.deployment.prefix}.201:8169",
                     "platform": {"addr": f"{self.deployment.prefix}.200:8169", "form": "kv", "writesPerS": 400,
-                                 "readsPerS": 2000, "historyS": 20, "valueBytes": 1048576, "ttlMinMs": 1000}}
+                                 "readsPerS": 2000, "historyS": 20, "valueBytes": VALUE_BYTES, "ttlMinMs": 1000}}
         path = self.deployment.folder / f"{self.name}.json"
         path.write_text(json.dumps(settings))
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
@@ -285,7 +314,8 @@
         self.record = Record(self.case_folder)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.prefix = free_prefix()
-        self.store = Store(random.Random(1))
+        self.store = BoundedStore(random.Random(1))
+        self.store.note = self.record.note
         self.routes = routes
         self.daemons = [Daemon(self, f"entry-{i + 1}", f"{self.prefix}.{i + 1}") for i in range(daemons)]
         self.workers = [Worker(self, f"i-{i + 1:04x}", f"{self.prefix}.{i + 100}", kind, rack)
