--- a/review/5/run.py
+++ b/review/5/run.py
@@ -13,19 +13,19 @@
           {"name": "laundry", "host": HOST, "prefix": "/laundry/", "service": "desk", "priority": 2, "maxAttempts": 4,
            "stretch": 4.0, "targetDurationMs": 1000}]
 # A service whose tasks fail shortly after each start.
-HOPELESS = {"cpu": 500, "ms": 60, "fails": True}
-HOPELESS_TASKS = 6
+HOPELESS = {"cpu": 200, "ms": 60, "fails": True}
+HOPELESS_TASKS = 12
 HOPELESS_AT_S = 5.0
 PLAIN = {"cpu": 1000, "ms": 400, "fails": False}
 # Steps that follow each other.
 STEPS = 8
 TRAFFIC_S = 20.0
-PLAIN_PER_S = 2
+PLAIN_PER_S = 1
 WATCH_S = 3.0
 
 
 def make():
-    return Deployment(pathlib.Path(__file__).parent, ROUTES, [("a", f"r{i // 3 + 1}") for i in range(8)])
+    return Deployment(pathlib.Path(__file__).parent, ROUTES, [("a", f"r{i // 3 + 1}") for i in range(6)])
 
 
 async def hand_in_plain(deployment, plain):
