--- a/review/1/run.py
+++ b/review/1/run.py
@@ -47,7 +47,10 @@
         asyncio.get_running_loop().call_later(FREEZE_S, leader.signal, signal.SIGCONT)
     await asyncio.sleep(FREEZE_S + 10.0)
     # Rule TWICE: no start after a run has ended done, if that end is taken note of then or later in a lease that lasted.
-    ended = {task: ended_at for worker in deployment.workers for _, task, _, ended_at in worker.noted}
+    ended = {}
+    for worker in deployment.workers:
+        for _, task, _, ended_at in worker.noted:
+            ended[task] = min(ended_at, ended.get(task, ended_at))
     again = [(start, worker.name) for start, worker in all_starts(deployment) if start[0] > ended.get(start[1], 1e9)]
     states = [(await deployment.query(job))[1].get("state") for job in jobs]
     record.note(f"states of the jobs: { {state: states.count(state) for state in set(states)} }")
