--- a/review/1/run.py
+++ b/review/1/run.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from deployment import HOST, CannotRun, Deployment, play
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts start. They are Python modules (review/standins/, and of the project's own
+# Builds the stand-ins that the scripts start. They are Python modules (review/deployment.py, and of the project's own
 # tests/soak/http_server.py, proxy.py and platform_standin.py), so there is nothing to compile: this checks that they and
 # the scripts can be read by the installed Python, 3.11 or later, without writing anything.
 cd "$(dirname "$0")/.." || exit 2
--- a/review/standins/deployment.py
+++ b/review/deployment.py
@@ -17,7 +17,7 @@
 import time
 import tomllib
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 sys.path.insert(0, str(ROOT / "tests" / "soak"))
 
 from http_server import NO_ANSWER, HttpClient, HttpServer  # noqa: E402
