dispatch: inherited tasks wait until all ends of a worker are read

A list holds 500 ends, and a worker counted as known once it had replied, so that discovery of inherited runs finished with the other ends unread.

Discovery now waits for a list that is not full. The deadline holds for workers that can't be contacted, whose leases have expired by then; a worker that answers keeps its ends, and has none. A worker that has left the directory is renewed, and recorded for the next leader, until its ends are read.

Conclusion: a full list proves nothing about what it doesn't name.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -593,11 +593,11 @@
     if (dispatcher.runDiscoveryFinished) {
         return;
     }
-    const auto hasAnswered
-        = [](const Worker &worker) { return worker.contacted || (!worker.listed && !worker.inherited); };
-    const bool known
-        = !dispatcher.workers.workers.empty() && std::ranges::all_of(dispatcher.workers.workers, hasAnswered);
-    if (known || now >= dispatcher.runDiscoveryDeadline) {
+    const std::span<const Worker> workers = dispatcher.workers.workers;
+    const bool known = !workers.empty() && std::ranges::all_of(workers, areFormerRunsKnown);
+    // At the deadline the leases of the workers that were not contacted have expired. A worker that answers keeps its
+    // ends, so there is no deadline for reading them.
+    if (known || (now >= dispatcher.runDiscoveryDeadline && std::ranges::none_of(workers, hasUnreadEnds))) {
         dispatcher.runDiscoveryFinished = true;
         dispatcher.placementDue = true;
         for (Worker &worker : dispatcher.workers.workers) {
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -108,8 +108,9 @@
     /// Keyed by the id of the call to the store.
     absl::flat_hash_map<CallId, UnknownJobCall> unknownJobs;
     Outbox *outbox = nullptr;
-    /// A new leader finds the runs of inherited jobs in the lists of the workers. Until every worker has answered or
-    /// the deadline has passed, inherited jobs are not started: any worker may still run them.
+    /// A new leader finds the runs of inherited jobs, and their ends, in the lists of the workers. Until every worker
+    /// has listed them all, inherited jobs are not started. After the deadline this waits only for the workers that
+    /// answer.
     MonotonicTime runDiscoveryDeadline{};
     bool runDiscoveryFinished = true;
     /// Send time of the last request or keep-alive of the claim's lease that the store confirmed. One lease later,
@@ -178,8 +179,8 @@
 void inheritWorkers(Dispatcher &dispatcher, std::span<const WorkerEntry> entries);
 void inheritEnd(Dispatcher &dispatcher, JobId id, const EndRecord &record, Now now);
 
-/// Finishes the discovery of inherited runs once every worker has answered or the deadline has passed. Inherited jobs
-/// can start then.
+/// Finishes the discovery of inherited runs once every worker has listed all of its runs and ends, or the deadline has
+/// passed and those that were contacted have. Inherited jobs can start then.
 void finishRunDiscovery(Dispatcher &dispatcher, MonotonicTime now);
 
 } // namespace wigeonkeel::dispatch
--- a/core/dispatch/records.cpp
+++ b/core/dispatch/records.cpp
@@ -290,7 +290,7 @@
 
 bool isRecorded(const Worker &worker)
 {
-    return worker.listed || !worker.runs.empty() || !worker.ends.empty();
+    return worker.listed || !worker.runs.empty() || !worker.ends.empty() || hasUnreadEnds(worker);
 }
 
 std::string encodeWorkers(const WorkerTable &table)
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -46,7 +46,7 @@
 
 bool needsRenewals(const Worker &worker)
 {
-    return worker.listed || worker.inherited || !worker.runs.empty() || !worker.ends.empty();
+    return worker.listed || worker.inherited || !worker.runs.empty() || !worker.ends.empty() || hasUnreadEnds(worker);
 }
 
 /// Acknowledgements name the numbers of ends, and a worker that restarts under its id counts from 1 again: it would
@@ -70,6 +70,7 @@
 void resetReportedState(Worker &worker, MonotonicTime now)
 {
     worker.contacted = false;
+    worker.endsComplete = false;
     worker.contactedToken = 0;
     worker.ends.clear();
     worker.lastEnd = 0;
@@ -396,11 +397,14 @@
     for (const RunningTask &running : reply.running) {
         handleRunningTask(dispatcher, slot, running, now);
     }
+    Worker &worker = dispatcher.workers.workers[slot];
     // A full list may omit ends, so it doesn't prove that a run is gone.
     if (reply.ended.size() >= maxListedEnds) {
+        logLine(LogLevel::Info, logPart, "List of ends is full. worker={} last_end={} acknowledged={} ends_complete={}",
+            worker.entry.id, worker.lastEnd, worker.acknowledgementSent, worker.endsComplete);
         return;
     }
-    Worker &worker = dispatcher.workers.workers[slot];
+    worker.endsComplete = true;
     std::vector<TaskKey> missing;
     for (const auto &entry : worker.runs) {
         const TaskKey &key = entry.first;
@@ -477,7 +481,7 @@
 void concludeUnreachableRuns(Dispatcher &dispatcher, WorkerSlot slot, MonotonicTime now)
 {
     Worker &worker = dispatcher.workers.workers[slot];
-    if (worker.renewalFailures == 0 || worker.runs.empty()) {
+    if (worker.renewalFailures == 0 || (worker.runs.empty() && !hasUnreadEnds(worker))) {
         return;
     }
     const MonotonicTime unknownLeaseEnd
--- a/core/dispatch/worker_table.cpp
+++ b/core/dispatch/worker_table.cpp
@@ -40,6 +40,17 @@
     return worker.formerIncarnationToken != 0 && worker.contactedToken <= worker.formerIncarnationToken;
 }
 
+bool hasUnreadEnds(const Worker &worker)
+{
+    return worker.contacted && !worker.endsComplete;
+}
+
+bool areFormerRunsKnown(const Worker &worker)
+{
+    // A worker that neither the directory nor the former leader's record names was never given a run.
+    return worker.contacted ? worker.endsComplete : !worker.listed && !worker.inherited;
+}
+
 bool canAcceptStarts(const Worker &worker, MonotonicTime now)
 {
     return worker.listed && worker.recorded && worker.contacted && !hasLateOrders(worker) && !worker.entry.draining
--- a/core/dispatch/worker_table.h
+++ b/core/dispatch/worker_table.h
@@ -81,6 +81,9 @@
     bool recorded = false;
     /// The worker replied to a call with this leader's fencing token, so it refuses orders of former leaders.
     bool contacted = false;
+    /// A list from the current incarnation contained all of its ends: one that was not full. Before that, the worker
+    /// may have ends that this leader has not read.
+    bool endsComplete = false;
     /// Highest fencing token that the current incarnation has replied to.
     std::uint64_t contactedToken = 0;
     /// Orders with a fencing token up to this one may have been meant for the previous incarnation.
@@ -128,6 +131,12 @@
 /// Whether orders for a former incarnation may still arrive and be carried out by the current one.
 bool hasLateOrders(const Worker &worker);
 
+/// Whether the worker was contacted and may have ends that this leader has not read, because each list so far was full.
+bool hasUnreadEnds(const Worker &worker);
+
+/// Whether it is known which runs of former leaders the worker has and which have ended.
+bool areFormerRunsKnown(const Worker &worker);
+
 /// The worker's current incarnation as the target of an order.
 WorkerTarget targetOf(const Worker &worker);
 
