dispatch: failures of one job don't keep workers from starts

A failed or stalled run now counts only if the worker is the likelier cause: other tasks of the step are done, or the job has failed on at most half of the workers that have run the step. The score halves each 10 s, and at most half of a pool's workers are avoided at one time. Long-running tasks whose runs are short wait from 50 ms up to 2 s for their next start.

--- a/core/dispatch/job_table.h
+++ b/core/dispatch/job_table.h
@@ -34,6 +34,8 @@
     MonotonicTime progressAt{};
     /// The task is not started before this time.
     MonotonicTime notBefore{};
+    /// Consecutive short runs of a long-running task.
+    std::uint32_t restarts = 0;
     /// Unknown runs of the task that are being stopped. The task is not started before they have ended.
     std::uint32_t unknownRuns = 0;
 };
@@ -104,6 +106,8 @@
     JobState state = JobState::Queued;
     /// The job's end is stored, or its cancellation was confirmed to the client.
     bool endStored = false;
+    /// Workers on which runs of the job have failed or stalled.
+    absl::flat_hash_set<WorkerSlot> failedOn;
     std::vector<Occurrence> occurrences;
     std::uint32_t nextOccurrence = 0;
     std::uint32_t occurrencesDone = 0;
--- a/core/dispatch/task_runs.cpp
+++ b/core/dispatch/task_runs.cpp
@@ -354,7 +354,9 @@
         break;
     case RunEnd::Failed:
         ++dispatcher.counters.runsFailed;
-        recordFailure(worker.health, 1.0, now);
+        if (isWorkerSuspect(*place.job, *place.spec, *place.step, *place.task, slot)) {
+            recordFailure(dispatcher.workers, slot, 1.0, now);
+        }
         place.task->failedOn = slot;
         place.task->attempt = std::max(place.task->attempt, ended.attempt);
         handleFailure(dispatcher, place, key, ended.attempt, now);
@@ -370,7 +372,11 @@
         break;
     }
     if (isCurrentRun) {
-        release(dispatcher, place, key, now + retryDelay, now);
+        const bool endedItself = ended.end == RunEnd::Done || ended.end == RunEnd::Failed;
+        const milliseconds delay = place.spec->longRunning && endedItself
+            ? restartDelay(place.task->restarts, now - place.task->startedAt)
+            : retryDelay;
+        release(dispatcher, place, key, now + delay, now);
     } else if (isUnknownRun) {
         place.task->attempt = ended.attempt;
         place.step->gangAttempt = std::max(place.step->gangAttempt, ended.attempt);
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -193,7 +193,7 @@
         }
         break;
     case StartRefusal::Unavailable:
-        recordFailure(worker.health, 1.0, now);
+        recordFailure(dispatcher.workers, order.worker, 1.0, now);
         break;
     case StartRefusal::WrongIncarnation:
         worker.contacted = false;
@@ -203,7 +203,7 @@
         break;
     }
     if (reply.status == CallStatus::Unreachable) {
-        recordFailure(worker.health, 0.5, now);
+        recordFailure(dispatcher.workers, order.worker, 0.5, now);
     }
     const bool retryNow = reply.refusal == StartRefusal::OldAttempt || reply.refusal == StartRefusal::Ticket;
     dropRun(dispatcher, order.worker, order.task, retryNow ? now : now + refusedDelay, now);
@@ -541,7 +541,9 @@
         ++dispatcher.counters.stalled;
         logLine(LogLevel::Warning, logPart, "Task makes no progress and is stopped. task={} worker={} percent={}",
             formatTaskKey(key), worker.entry.id, place.task->percent);
-        recordFailure(worker.health, stallWeight, now);
+        if (isWorkerSuspect(*place.job, *place.spec, *place.step, *place.task, slot)) {
+            recordFailure(dispatcher.workers, slot, stallWeight, now);
+        }
         place.task->failedOn = slot;
         stopRun(dispatcher, slot, key, now);
     }
--- a/core/dispatch/worker_table.cpp
+++ b/core/dispatch/worker_table.cpp
@@ -8,15 +8,10 @@
 namespace
 {
 
-/// At this score, reached after three failures in short order, a worker gets no starts for a while. One or two failures
-/// can also come from jobs that fail on every worker.
-constexpr double avoidanceScore = 2.5;
 constexpr std::uint32_t urgentPriority = 0;
 /// Time from the reply to a renewal until the next renewal.
 constexpr milliseconds urgentRenewalDelay{40};
 constexpr milliseconds regularRenewalDelay{200};
-constexpr milliseconds firstAvoidance{3000};
-constexpr milliseconds longestAvoidance{12000};
 
 } // namespace
 
@@ -103,23 +98,4 @@
     return worker.acknowledged;
 }
 
-void recordFailure(WorkerHealth &health, double weight, MonotonicTime now)
-{
-    health.failureScore += weight;
-    if (health.failureScore >= avoidanceScore) {
-        health.nextAvoidance = std::clamp(health.nextAvoidance * 2, firstAvoidance, longestAvoidance);
-        health.avoidUntil = now + health.nextAvoidance;
-        // One more failure after the pause is enough to avoid the worker again.
-        health.failureScore = avoidanceScore - 1.0;
-    }
-}
-
-void recordSuccess(WorkerHealth &health)
-{
-    health.failureScore *= 0.5;
-    if (health.failureScore < 0.5) {
-        health.nextAvoidance = milliseconds(0);
-    }
-}
-
 } // namespace wigeonkeel::dispatch
--- a/core/dispatch/worker_table.h
+++ b/core/dispatch/worker_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/dispatch/messages.h"
+#include "core/dispatch/worker_health.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -13,11 +14,8 @@
 namespace wigeonkeel::dispatch
 {
 
-/// Index of a worker in the table. It stays the same when the worker returns under a new incarnation.
-using WorkerSlot = std::uint32_t;
 /// Real time per time on a worker's clock, at most. The platform's contract lets a worker's clock run 2% slow.
 inline constexpr double maxWorkerClockRatio = 1.02;
-inline constexpr WorkerSlot noWorker = UINT32_MAX;
 
 enum class RunPhase : std::uint8_t {
     /// The start was ordered; the worker has not listed the run yet.
@@ -57,16 +55,6 @@
     bool unknown = false;
 };
 
-/// Tracks failures of runs on a worker, to avoid workers on which most runs fail.
-struct WorkerHealth
-{
-    /// Rises with each failed or stalled run and falls with each successful one.
-    double failureScore = 0.0;
-    MonotonicTime avoidUntil{};
-    /// Doubles each time the worker is avoided, and is reset once the worker completes enough runs.
-    milliseconds nextAvoidance{0};
-};
-
 /// A worker and the leader's state about it.
 struct Worker
 {
@@ -163,8 +151,4 @@
 /// Removes the leading ends that are stored, and returns the number up to which ends may be acknowledged.
 std::uint64_t advanceAcknowledged(Worker &worker);
 
-/// Update the worker's health after the end of a run.
-void recordFailure(WorkerHealth &health, double weight, MonotonicTime now);
-void recordSuccess(WorkerHealth &health);
-
 } // namespace wigeonkeel::dispatch
