placement: steps are examined in turn only in pools that are mostly idle

The platform's rule on waiting jobs holds while under half of a service's capacity is in use, so further steps are examined only then, for each pool by itself.

--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -147,7 +147,7 @@
     /// Something changed that may let a task start.
     bool placementDue = false;
     MonotonicTime nextPlacement{};
-    /// The last step that the last pass of the placement examined; empty if the pass reached all steps.
+    /// The last step that a pass of the placement examined in turn; empty if the pass reached all steps.
     std::optional<PlacementPosition> placedUpTo;
     MonotonicTime nextSupervision{};
     /// When the runs of all workers were last checked.
--- a/core/dispatch/placement.cpp
+++ b/core/dispatch/placement.cpp
@@ -4,6 +4,7 @@
 #include "core/log.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <span>
 #include <tuple>
@@ -46,9 +47,12 @@
 constexpr std::size_t maxOpenOrders = 64;
 /// Each pass examines the most urgent steps until this many have found no room.
 constexpr std::size_t maxBlockedSteps = 60;
-/// Of the remaining steps, a pass examines those after the ones that the last pass examined, until this many more have
-/// found no room. Less urgent steps may fit where more urgent ones don't.
+/// While the workers are mostly idle, a pass also examines the remaining steps after the ones that the last pass
+/// examined, until this many more have found no room. Less urgent steps may fit where more urgent ones don't.
 constexpr std::size_t maxBlockedStepsInTurn = 15;
+/// Up to this share of the processors in use, waiting jobs must start where they fit, by the platform's rules. Above
+/// it, room is left to the most urgent steps, which would otherwise find it taken by jobs that are very late.
+constexpr double mostlyIdleShare = 0.5;
 /// Added to the time between passes for each worker that a blocked step examined; about five times what examining the
 /// worker takes.
 constexpr std::chrono::microseconds timePerExaminedWorker{2};
@@ -885,6 +889,25 @@
     pass.blocked += ready.step->waiting == waiting ? 1 : 0;
 }
 
+/// Pools with at most `mostlyIdleShare` of the processors of the workers that accept starts in use.
+absl::flat_hash_set<std::string_view> mostlyIdlePools(const Dispatcher &dispatcher, MonotonicTime now)
+{
+    absl::flat_hash_map<std::string_view, Resources> spare;
+    for (const Worker &worker : dispatcher.workers.workers) {
+        if (canAcceptStarts(worker, now)) {
+            const auto allowed = mostlyIdleShare * static_cast<double>(worker.entry.capacity.cpuMilli);
+            spare[worker.entry.pool].cpuMilli += static_cast<std::int64_t>(allowed) - worker.used.cpuMilli;
+        }
+    }
+    absl::flat_hash_set<std::string_view> idle;
+    for (const auto &[pool, room] : spare) {
+        if (room.cpuMilli >= 0) {
+            idle.insert(pool);
+        }
+    }
+    return idle;
+}
+
 /// Examines the steps from `from` on until so many have found no room in this pass. Returns the first one that was not
 /// examined.
 std::size_t examineSteps(Dispatcher &dispatcher, PlacementPass &pass, std::span<const ReadyStep> steps,
@@ -896,6 +919,24 @@
     return from;
 }
 
+/// Examines some of these steps, beginning after the last one that the last pass examined, if their pools are mostly
+/// idle.
+void examineStepsInTurn(
+    Dispatcher &dispatcher, PlacementPass &pass, std::span<const ReadyStep> remaining, MonotonicTime now)
+{
+    const auto idle = mostlyIdlePools(dispatcher, now);
+    std::vector<ReadyStep> steps;
+    std::ranges::copy_if(remaining, std::back_inserter(steps),
+        [&idle](const ReadyStep &ready) { return idle.contains(ready.queue->pool); });
+    std::size_t first = 0;
+    if (dispatcher.placedUpTo) {
+        const auto later = std::ranges::upper_bound(steps, *dispatcher.placedUpTo, {}, positionOf);
+        first = later == steps.end() ? 0 : static_cast<std::size_t>(later - steps.begin());
+    }
+    const std::size_t next = examineSteps(dispatcher, pass, steps, first, maxBlockedSteps + maxBlockedStepsInTurn, now);
+    dispatcher.placedUpTo = next < steps.size() ? std::optional(positionOf(steps[next - 1])) : std::nullopt;
+}
+
 } // namespace
 
 void handleAdviceReply(Dispatcher &dispatcher, const AdviceReply &reply, MonotonicTime now)
@@ -954,14 +995,10 @@
     refill(dispatcher.outbox->link, now);
     const std::vector<ReadyStep> steps = readySteps(dispatcher, now);
     PlacementPass pass;
-    std::size_t next = examineSteps(dispatcher, pass, steps, 0, maxBlockedSteps, now);
-    if (next < steps.size() && dispatcher.placedUpTo) {
-        const auto later = std::ranges::upper_bound(steps, *dispatcher.placedUpTo, {}, positionOf);
-        const auto resumeAt = static_cast<std::size_t>(later - steps.begin());
-        next = resumeAt < steps.size() ? std::max(next, resumeAt) : next;
+    const std::size_t next = examineSteps(dispatcher, pass, steps, 0, maxBlockedSteps, now);
+    if (next < steps.size()) {
+        examineStepsInTurn(dispatcher, pass, std::span(steps).subspan(next), now);
     }
-    next = examineSteps(dispatcher, pass, steps, next, maxBlockedSteps + maxBlockedStepsInTurn, now);
-    dispatcher.placedUpTo = next < steps.size() ? std::optional(positionOf(steps[next - 1])) : std::nullopt;
     // A step that finds no room examines every worker. The time between passes limits them to a fifth of a core.
     const auto spacing = timePerExaminedWorker * static_cast<int>(pass.blocked * dispatcher.workers.workers.size())
         + timePerReadyStep * static_cast<int>(steps.size());
