dispatch: log and count the removal of records of ended jobs

The log couldn't tell whether a job that was accepted twice had lost the record of its end, or whether the record had never been there: neither the removal nor the age that it was judged by was written, and an acceptance didn't say what the leader knew. No decision changes.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -126,14 +126,22 @@
     return *(dispatcher.jobs.live[id] = std::move(job));
 }
 
+void logRepeatedSubmission(JobId id, JobState state)
+{
+    logLine(LogLevel::Info, logPart, "Submission of a known job. job={} state={}", formatJobId(id),
+        isEnded(state) ? stateName(state) : "live");
+}
+
 void submit(Dispatcher &dispatcher, const ClientCall &call, Now now)
 {
-    if (dispatcher.jobs.ended.contains(call.job)) {
+    if (const auto ended = dispatcher.jobs.ended.find(call.job); ended != dispatcher.jobs.ended.end()) {
+        logRepeatedSubmission(call.job, ended->second);
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok});
         return;
     }
     Job *known = findJob(dispatcher.jobs, call.job);
     if (known != nullptr && known->accepted) {
+        logRepeatedSubmission(call.job, known->state);
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok});
         return;
     }
@@ -278,9 +286,11 @@
     job.accepted = true;
     ++dispatcher.counters.accepted;
     observe(dispatcher, DurationKind::Acceptance, now - job.arrivedAt);
-    logLine(LogLevel::Info, logPart, "Job accepted. job={} queue={} steps={} tasks={} due_in_ms={}",
+    logLine(LogLevel::Info, logPart,
+        "Job accepted. job={} queue={} steps={} tasks={} due_in_ms={} ends_known={} ends_removed={}",
         formatJobId(job.record.id), job.record.queue.name, job.record.spec.steps.size(),
-        job.record.spec.steps.front().count, std::chrono::floor<milliseconds>(job.dueBy - now).count());
+        job.record.spec.steps.front().count, std::chrono::floor<milliseconds>(job.dueBy - now).count(),
+        dispatcher.jobs.ended.size(), dispatcher.counters.endsRemoved);
     for (const CallId call : job.waitingSubmits) {
         answer(dispatcher, {.call = call, .outcome = ClientOutcome::Ok});
     }
@@ -437,8 +447,12 @@
     auto &order = dispatcher.jobs.endedOrder;
     Commit removal{.tag = {.kind = CommitKind::Forget}, .writes = {}, .deletes = {}, .queuedAt = now};
     while (!order.empty() && order.begin()->first + kept < now && removal.deletes.size() < maxRemovedRecords) {
-        const JobId id = order.begin()->second;
+        const auto [endedAt, id] = *order.begin();
+        logLine(LogLevel::Info, logPart, "Record of an ended job is removed. job={} state={} age_ms={} token={}",
+            formatJobId(id), stateName(dispatcher.jobs.ended[id]),
+            std::chrono::floor<milliseconds>(now - endedAt).count(), dispatcher.token);
         dispatcher.jobs.ended.erase(id);
+        ++dispatcher.counters.endsRemoved;
         removal.deletes.push_back(endKey(id));
         order.erase(order.begin());
     }
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -90,6 +90,8 @@
     std::uint64_t renewals = 0;
     std::uint64_t adviceRequests = 0;
     std::uint64_t commits = 0;
+    /// Records of ended jobs that were removed; from then on their ids count as unused.
+    std::uint64_t endsRemoved = 0;
 };
 
 /// Place of a step in the order in which steps are placed.
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -463,7 +463,11 @@
         return;
     }
     node.dispatcher->endsLoaded = true;
-    logLine(LogLevel::Info, logPart, "Records of ended jobs loaded. jobs={}", node.dispatcher->jobs.ended.size());
+    const auto &order = node.dispatcher->jobs.endedOrder;
+    const auto oldest
+        = order.empty() ? milliseconds(0) : std::chrono::floor<milliseconds>(now.monotonic - order.begin()->first);
+    logLine(LogLevel::Info, logPart, "Records of ended jobs loaded. jobs={} oldest_ms={} token={}",
+        node.dispatcher->jobs.ended.size(), oldest.count(), node.dispatcher->token);
 }
 
 void writeClaimAgain(Node &node, std::uint64_t claimRevision)
