dispatch: remove records of ended jobs by proven age only

The record of an end is the only proof that a job's id was used. Its age was the difference between the time of day of the daemon that ended the job and of the one that judged it, so a machine whose clock was off by more than 140 s, once, made a leader remove recent records: ended jobs were unknown, and copies of their submissions ran again.

Leaders now count by their own monotonic clocks. Every 5 s, while it knows ended jobs, a leader notes the revision that the store has reached and stores the notes with their ages (wk/ctl/retention, at most about 30 pairs); a successor continues from there. What was written up to a noted revision is at least that old. The time between two leaders, and up to 5 s before a leader is lost, is not counted, so records are kept longer and never shorter. A record of notes that can't be read proves nothing. The time of day in a record of an end decides nothing any more.

A Dispatcher can't be built without its outbox, token, the request time of its lease and the retention; a commit queue gets its chains with its token.

RecordsAreRemovedWhileLeadersChange holds the count over 12 leaders.

--- a/bench/placement_benchmark.cpp
+++ b/bench/placement_benchmark.cpp
@@ -22,8 +22,7 @@
 
 Dispatcher fullFleet(Outbox &outbox)
 {
-    Dispatcher dispatcher;
-    dispatcher.outbox = &outbox;
+    Dispatcher dispatcher(outbox, 1, MonotonicTime(milliseconds(0)), EndRetention(DispatchBounds{}.keepEnded));
     dispatcher.configuration = {.version = 1,
         .queues
         = {{.name = "batch", .host = "h", .pathPrefix = "/b/", .pool = "pool", .priority = 2, .maxAttempts = 2}},
--- a/core/dispatch/commit_streams.cpp
+++ b/core/dispatch/commit_streams.cpp
@@ -38,6 +38,7 @@
     case CommitKind::Progress:
     case CommitKind::Workers:
     case CommitKind::Forget:
+    case CommitKind::Retention:
         return 2;
     }
     return 2;
@@ -105,6 +106,21 @@
     return fmt::format("wk/ctl/chain{}", stream);
 }
 
+CommitQueue makeCommitQueue(std::uint64_t token)
+{
+    CommitQueue queue{.token = token};
+    for (std::size_t stream = 0; stream < commitStreamCount; ++stream) {
+        queue.streams.at(stream).key = chainKey(stream);
+        queue.streams.at(stream).revision = token;
+    }
+    return queue;
+}
+
+std::uint64_t highestRevision(const CommitQueue &queue)
+{
+    return std::ranges::max(queue.streams, {}, &CommitStream::revision).revision;
+}
+
 std::string chainValue(std::uint64_t token, std::uint64_t sequence)
 {
     return fmt::format("{}:{}", token, sequence);
--- a/core/dispatch/commit_streams.h
+++ b/core/dispatch/commit_streams.h
@@ -12,7 +12,7 @@
 {
 
 /// Identifies a commit; returned to the caller once the commit is stored.
-enum class CommitKind : std::uint8_t { Accept, Progress, End, Workers, Forget };
+enum class CommitKind : std::uint8_t { Accept, Progress, End, Workers, Forget, Retention };
 
 struct CommitTag
 {
@@ -84,6 +84,12 @@
 
 std::string chainKey(std::size_t stream);
 
+/// The queue of a leader whose claim wrote all chain keys at the revision `token`.
+CommitQueue makeCommitQueue(std::uint64_t token);
+
+/// A revision that the store has reached for certain.
+std::uint64_t highestRevision(const CommitQueue &queue);
+
 /// Value of a chain key after a transaction.
 std::string chainValue(std::uint64_t token, std::uint64_t sequence);
 
--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -16,8 +16,6 @@
 constexpr std::string_view logPart = "dispatch";
 /// Interval at which the runs of all workers are checked.
 constexpr milliseconds supervisionInterval{100};
-/// Records of ended jobs are kept for this long beyond the time that clients are promised.
-constexpr milliseconds keepEndedMargin{20000};
 /// Most records of ended jobs that are removed at once; they fit into one transaction.
 constexpr std::size_t maxRemovedRecords = 28;
 /// Once the store has failed for this long, new jobs are rejected immediately: they could not be stored in time.
@@ -335,6 +333,10 @@
     if (tag.kind == CommitKind::Forget) {
         return;
     }
+    if (tag.kind == CommitKind::Retention) {
+        dispatcher.endRetention.commitOpen = false;
+        return;
+    }
     if (tag.kind == CommitKind::Workers) {
         handleWorkersStored(dispatcher);
         return;
@@ -443,10 +445,10 @@
 /// the leases of a VM, records would be removed early, and an accepted job would be unknown to the next leader.
 void removeEndedRecords(Dispatcher &dispatcher, MonotonicTime now)
 {
-    const milliseconds kept = dispatcher.bounds.keepEnded + keepEndedMargin;
     auto &order = dispatcher.jobs.endedOrder;
     Commit removal{.tag = {.kind = CommitKind::Forget}, .writes = {}, .deletes = {}, .queuedAt = now};
-    while (!order.empty() && order.begin()->first + kept < now && removal.deletes.size() < maxRemovedRecords) {
+    while (!order.empty() && order.begin()->first + dispatcher.endRetention.kept < now
+        && removal.deletes.size() < maxRemovedRecords) {
         const auto [endedAt, id] = *order.begin();
         logLine(LogLevel::Info, logPart, "Record of an ended job is removed. job={} state={} age_ms={} token={}",
             formatJobId(id), stateName(dispatcher.jobs.ended[id]),
@@ -461,8 +463,33 @@
     }
 }
 
+/// Stores how long the records of ended jobs are proven to exist, so that the next leader continues the count.
+void storeRetention(Dispatcher &dispatcher, MonotonicTime now)
+{
+    EndRetention &retention = dispatcher.endRetention;
+    if (retention.commitOpen || dispatcher.jobs.ended.empty()
+        || !observeRevision(retention, highestRevision(dispatcher.commits), now)) {
+        return;
+    }
+    retention.commitOpen = true;
+    enqueue(dispatcher.commits,
+        {.tag = {.kind = CommitKind::Retention},
+            .writes = {{.key = std::string(retentionKey), .value = encodeRetention(retention, now)}},
+            .deletes = {},
+            .queuedAt = now});
+}
+
 } // namespace
 
+Dispatcher::Dispatcher(Outbox &actions, std::uint64_t fencingToken, MonotonicTime confirmedAt, EndRetention ends)
+    : token(fencingToken)
+    , commits(makeCommitQueue(fencingToken))
+    , endRetention(std::move(ends))
+    , outbox(&actions)
+    , claimConfirmedAt(confirmedAt)
+{
+}
+
 void observe(Dispatcher &dispatcher, DurationKind kind, MonotonicTime::duration duration)
 {
     dispatcher.outbox->add(
@@ -541,6 +568,7 @@
         startOccurrences(dispatcher, now);
         rejectUnsentJobs(dispatcher, now.monotonic);
         removeEndedRecords(dispatcher, now.monotonic);
+        storeRetention(dispatcher, now.monotonic);
         storeWorkers(dispatcher, now.monotonic);
         dispatcher.placementDue = true;
     }
@@ -591,14 +619,12 @@
     dispatcher.unstoredJobs.insert(record.id);
 }
 
-void inheritEnd(Dispatcher &dispatcher, JobId id, const EndRecord &record, Now now)
+void inheritEnd(Dispatcher &dispatcher, JobId id, const EndRecord &record, std::uint64_t revision, MonotonicTime now)
 {
     if (dispatcher.jobs.live.contains(id) || !dispatcher.jobs.ended.try_emplace(id, record.state).second) {
         return;
     }
-    // Clocks differ between daemons; an end is never in the future.
-    const auto age = std::max(milliseconds(0), now.wall - record.endedAt);
-    dispatcher.jobs.endedOrder.emplace(now.monotonic - age, id);
+    dispatcher.jobs.endedOrder.emplace(provenSince(dispatcher.endRetention, revision, now), id);
 }
 
 void finishRunDiscovery(Dispatcher &dispatcher, MonotonicTime now)
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -3,6 +3,7 @@
 #include "core/dispatch/advice_lines.h"
 #include "core/dispatch/commit_streams.h"
 #include "core/dispatch/configuration.h"
+#include "core/dispatch/end_retention.h"
 #include "core/dispatch/job_table.h"
 #include "core/dispatch/order_pace.h"
 #include "core/dispatch/outbox.h"
@@ -25,6 +26,9 @@
 /// when the leader's VM loses power.
 inline constexpr milliseconds claimLease{1000};
 
+/// Records of ended jobs are kept for this long beyond the time that clients are promised.
+inline constexpr milliseconds keepEndedMargin{20000};
+
 /// Limits of the platform that the decisions respect.
 struct DispatchBounds
 {
@@ -109,20 +113,24 @@
 /// The leader's state: all jobs, all workers, and the open orders. Only the daemon that holds the claim has one.
 struct Dispatcher
 {
+    /// `fencingToken` is the revision at which the claim was written, `confirmedAt` when its lease was requested.
+    Dispatcher(Outbox &actions, std::uint64_t fencingToken, MonotonicTime confirmedAt, EndRetention ends);
+
     DispatchBounds bounds;
     /// Fencing token of all orders.
-    std::uint64_t token = 0;
+    std::uint64_t token;
     Configuration configuration;
     JobTable jobs;
     WorkerTable workers;
     Advisor advisor;
     CommitQueue commits;
+    EndRetention endRetention;
     absl::flat_hash_map<CallId, OpenOrder> orders;
     OrderLatency orderLatency;
     absl::flat_hash_map<CallId, WorkerSlot> renewals;
     /// Keyed by the id of the call to the store.
     absl::flat_hash_map<CallId, UnknownJobCall> unknownJobs;
-    Outbox *outbox = nullptr;
+    Outbox *outbox;
     /// A new leader finds the runs of inherited jobs, and their ends, in the lists of the workers. Until every worker
     /// has listed them all, inherited jobs are not started. After the deadline this waits only for the workers that
     /// answer.
@@ -130,7 +138,7 @@
     bool runDiscoveryFinished = true;
     /// Send time of the last request or keep-alive of the claim's lease that the store confirmed. One lease later,
     /// another daemon may lead and have jobs that this one doesn't know.
-    MonotonicTime claimConfirmedAt{};
+    MonotonicTime claimConfirmedAt;
     /// Whether leases may be extended and tasks started: no other daemon can have led for long enough to start
     /// elsewhere what this one keeps running.
     bool canExtendLeases = true;
@@ -192,7 +200,8 @@
 /// Add jobs, workers and ends of a former leader from the store. The runs are read from the workers' lists.
 void inheritJob(Dispatcher &dispatcher, const JobRecord &record, std::string_view progress, Now now);
 void inheritWorkers(Dispatcher &dispatcher, std::span<const WorkerEntry> entries);
-void inheritEnd(Dispatcher &dispatcher, JobId id, const EndRecord &record, Now now);
+/// `revision` is the store's revision at which the record was written.
+void inheritEnd(Dispatcher &dispatcher, JobId id, const EndRecord &record, std::uint64_t revision, MonotonicTime now);
 
 /// Finishes the discovery of inherited runs once every worker has listed all of its runs and ends, or the deadline has
 /// passed and those that were contacted have. Inherited jobs can start then.
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -313,21 +313,28 @@
     }
 }
 
+/// Continues the former leader's count of how long the records of ended jobs exist. Its record is the last one: the
+/// claim was written on the condition that the keys of the commit streams were unchanged.
+EndRetention inheritRetention(const Node &node, std::uint64_t token, MonotonicTime now)
+{
+    const StoreItem *record = findItem(node.leadership.control, retentionKey);
+    std::string problem;
+    EndRetention retention = continueRetention(node.options.bounds.keepEnded + keepEndedMargin,
+        record == nullptr ? std::string_view() : std::string_view(record->value), token, now, problem);
+    if (!problem.empty()) {
+        logLine(LogLevel::Error, logPart, "The record of observed revisions can't be read. problem={}", problem);
+    }
+    return retention;
+}
+
 void createDispatcher(Node &node, std::uint64_t token, MonotonicTime now)
 {
-    node.dispatcher = std::make_unique<Dispatcher>();
-    Dispatcher &dispatcher = *node.dispatcher;
-    dispatcher.bounds = node.options.bounds;
-    dispatcher.token = token;
-    dispatcher.outbox = &node.outbox;
-    dispatcher.commits.token = token;
     // The claim lasts as long as its lease, which the store counts from the arrival of the request. The reply to the
     // claim proves nothing about the present: it may have waited until the lease had ended.
-    dispatcher.claimConfirmedAt = node.leadership.leaseRequestedAt;
-    for (std::size_t stream = 0; stream < commitStreamCount; ++stream) {
-        dispatcher.commits.streams.at(stream).key = chainKey(stream);
-        dispatcher.commits.streams.at(stream).revision = token;
-    }
+    node.dispatcher = std::make_unique<Dispatcher>(
+        node.outbox, token, node.leadership.leaseRequestedAt, inheritRetention(node, token, now));
+    Dispatcher &dispatcher = *node.dispatcher;
+    dispatcher.bounds = node.options.bounds;
     setConfiguration(dispatcher, node.configuration);
     const auto lease = std::chrono::duration<double, std::milli>(node.options.bounds.workerLease) * maxWorkerClockRatio;
     // Counted from the reply, which is certain to follow the execution of the claim.
@@ -434,12 +441,12 @@
     }
 }
 
-void loadEndItem(Node &node, const StoreItem &item, Now now)
+void loadEndItem(Node &node, const StoreItem &item, MonotonicTime now)
 {
     const auto id = jobIdFromKey(item.key, endPrefix);
     const auto record = decodeEnd(item.value);
     if (id && record) {
-        inheritEnd(*node.dispatcher, *id, *record, now);
+        inheritEnd(*node.dispatcher, *id, *record, item.revision, now);
     } else {
         logLine(LogLevel::Error, logPart, "The record of an ended job can't be read. key={}", item.key);
     }
@@ -455,7 +462,7 @@
         return;
     }
     for (const StoreItem &item : reply.items) {
-        loadEndItem(node, item, now);
+        loadEndItem(node, item, now.monotonic);
         node.leadership.loadAfter = item.key;
     }
     if (reply.morePages && !reply.items.empty()) {
--- a/tests/core/guarded_call_test.cpp
+++ b/tests/core/guarded_call_test.cpp
@@ -99,8 +99,8 @@
 {
     DispatchDaemon daemon;
     dispatch::Node &node = daemon.kernel.node;
-    node.dispatcher = std::make_unique<dispatch::Dispatcher>();
-    node.dispatcher->outbox = &node.outbox;
+    node.dispatcher = std::make_unique<dispatch::Dispatcher>(
+        node.outbox, 1, readClock(daemon.kernel.clock).monotonic, dispatch::EndRetention(milliseconds(1000)));
     node.leadership.phase = dispatch::ClaimPhase::Leading;
     post(daemon.kernel, fail);
     CHECK(node.dispatcher == nullptr);
--- a/tests/dispatch/ended_jobs_test.cpp
+++ b/tests/dispatch/ended_jobs_test.cpp
@@ -86,7 +86,7 @@
 
 // Guards against the removal of a record by another daemon's time of day: an end that was recorded while the leader's
 // clock was behind, or that is judged by one that is ahead, was removed at once, and its job was accepted again.
-IGNORE_TEST(DispatchEndedJobs, TimesOfDayThatDifferDoNotRemoveRecords)
+TEST(DispatchEndedJobs, TimesOfDayThatDifferDoNotRemoveRecords)
 {
     for (const milliseconds offset : {std::chrono::hours(-1), std::chrono::hours(1)}) {
         World world(3, 4);
@@ -127,3 +127,21 @@
         world.run(milliseconds(5000));
     }
 }
+
+// Guards against records that pile up because each new leader counts their age anew.
+TEST(DispatchEndedJobs, RecordsAreRemovedWhileLeadersChange)
+{
+    World world(3, 4);
+    world.run(settleTime);
+    world.submit(0, job, {.payload = "p", .steps = {stepOf(1, 500, milliseconds(200))}}, "batch");
+    CHECK(world.runUntil([&] { return world.store.items.contains(endKey(job)); }, milliseconds(3000)));
+    const milliseconds endedAt = world.time;
+    constexpr int changes = 12;
+    constexpr milliseconds lostByChange{10000};
+    const milliseconds limit = DispatchBounds{}.keepEnded + keepEndedMargin + changes * lostByChange;
+    for (int i = 0; i < changes; ++i) {
+        world.run(milliseconds(15000));
+        CHECK(replaceLeader(world));
+    }
+    CHECK(world.runUntil([&] { return !world.store.items.contains(endKey(job)); }, endedAt + limit - world.time));
+}
