dispatch: leaders in series don't add observations of revisions

Each leader noted the store's revision when it began, also if its predecessor had done so a moment before, so the record of the notes grew by a pair with each leader that was lost within 5 s. Notes are now at least 5 s of counted time apart, over all leaders, which bounds the record to 30 pairs. LeadersInSeriesDoNotAddObservations failed before.

--- a/core/dispatch/end_retention.cpp
+++ b/core/dispatch/end_retention.cpp
@@ -57,6 +57,10 @@
     EndRetention retention(kept);
     if (auto observed = parseObservations(stored, revision, now)) {
         retention.observed = std::move(*observed);
+        if (!retention.observed.empty()) {
+            // Leaders that are lost one after the other must not each add an observation.
+            retention.nextObservation = retention.observed.back().at + observationInterval;
+        }
     } else {
         problem = "expected REVISION:AGE_MS in ascending order of revisions";
     }
--- a/tests/dispatch/end_retention_test.cpp
+++ b/tests/dispatch/end_retention_test.cpp
@@ -67,6 +67,18 @@
     CHECK(at(5000) - provenSince(next, claim + 1900, at(5000)) < kept);
 }
 
+// Guards against an observation for each of the leaders that are lost one after the other.
+TEST(EndRetention, LeadersInSeriesDoNotAddObservations)
+{
+    EndRetention retention(kept);
+    for (std::uint64_t leader = 0; leader < 100; ++leader) {
+        const auto claimedAt = static_cast<std::int64_t>(leader) * 4;
+        observeRevision(retention, claim + leader, at(claimedAt));
+        retention = succeed(retention, at(claimedAt + 3), claim + leader + 1, at(claimedAt + 4));
+    }
+    CHECK(retention.observed.size() <= 30);
+}
+
 // Guards against records that are removed early because of a damaged record of the observations.
 TEST(EndRetention, ObservationsThatCannotBeReadProveNothing)
 {
