dispatch: an ended job is known until the removal of its record is stored

A leader dropped an ended job from memory when it queued the removal of its record. Until the store had carried that out, a query found the record of a job that the leader didn't know, which it takes for proof of another leader, and stepped down; and a submission was accepted as a new job on another commit stream, so that a delayed removal could delete the record of the second end.

The id now counts as used until the removal is stored; each removal is a commit of its own, and commits are still grouped into transactions.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -331,6 +331,8 @@
 void handleStored(Dispatcher &dispatcher, const CommitTag &tag, Now now)
 {
     if (tag.kind == CommitKind::Forget) {
+        // Until now the id counts as used: a delayed removal must not delete the record of a later job.
+        dispatcher.jobs.ended.erase(tag.job);
         return;
     }
     if (tag.kind == CommitKind::Retention) {
@@ -446,20 +448,16 @@
 void removeEndedRecords(Dispatcher &dispatcher, MonotonicTime now)
 {
     auto &order = dispatcher.jobs.endedOrder;
-    Commit removal{.tag = {.kind = CommitKind::Forget}, .writes = {}, .deletes = {}, .queuedAt = now};
-    while (!order.empty() && order.begin()->first + dispatcher.endRetention.kept < now
-        && removal.deletes.size() < maxRemovedRecords) {
+    std::size_t removed = 0;
+    while (!order.empty() && order.begin()->first + dispatcher.endRetention.kept < now && removed < maxRemovedRecords) {
         const auto [endedAt, id] = *order.begin();
-        logLine(LogLevel::Info, logPart, "Record of an ended job is removed. job={} state={} age_ms={} token={}",
-            formatJobId(id), stateName(dispatcher.jobs.ended[id]),
-            std::chrono::floor<milliseconds>(now - endedAt).count(), dispatcher.token);
-        dispatcher.jobs.ended.erase(id);
+        logLine(LogLevel::Info, logPart, "Record of an ended job is removed. job={} age_ms={} token={}",
+            formatJobId(id), std::chrono::floor<milliseconds>(now - endedAt).count(), dispatcher.token);
         ++dispatcher.counters.endsRemoved;
-        removal.deletes.push_back(endKey(id));
+        ++removed;
         order.erase(order.begin());
-    }
-    if (!removal.deletes.empty()) {
-        enqueue(dispatcher.commits, std::move(removal));
+        enqueue(dispatcher.commits,
+            {.tag = {.kind = CommitKind::Forget, .job = id}, .writes = {}, .deletes = {endKey(id)}, .queuedAt = now});
     }
 }
 
--- a/tests/dispatch/ended_jobs_test.cpp
+++ b/tests/dispatch/ended_jobs_test.cpp
@@ -3,6 +3,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 using namespace wigeonkeel;
 using namespace wigeonkeel::dispatch;
 
@@ -11,6 +13,7 @@
 
 constexpr milliseconds settleTime{3000};
 constexpr milliseconds takeoverLimit{6000};
+constexpr milliseconds answerLimit{1000};
 constexpr JobId job = 0xe7;
 
 /// Kills the leader and waits for the next one. Returns false if none leads in time.
@@ -53,6 +56,40 @@
     std::size_t former = 0;
 };
 
+const JobSpec &jobSpec()
+{
+    static const JobSpec spec{.payload = "p", .steps = {stepOf(2, 500, milliseconds(200))}};
+    return spec;
+}
+
+/// A job that ended, up to the moment at which the leader begins to remove its record. The write that removes it gets
+/// no reply and is repeated after its timeout.
+struct RemovalWithoutReply
+{
+    RemovalWithoutReply()
+    {
+        world.run(settleTime);
+        leader = world.leaderIndex();
+        world.submit(leader, job, jobSpec(), "batch");
+        CHECK(world.runUntil([this] { return world.store.items.contains(endKey(job)); }, milliseconds(3000)));
+        const milliseconds kept = DispatchBounds{}.keepEnded + keepEndedMargin;
+        world.run(kept - milliseconds(500));
+        CHECK_FALSE(isRemovalBegun());
+        while (!isRemovalBegun()) {
+            world.rules.lateWritePercent = 100;
+            world.run(milliseconds(1));
+        }
+        world.rules.lateWritePercent = 0;
+        CHECK(world.store.items.contains(endKey(job)));
+        CHECK_EQUAL(leader, world.leaderIndex());
+    }
+
+    bool isRemovalBegun() { return world.nodes[leader].node->dispatcher->jobs.endedOrder.empty(); }
+
+    World world{3, 4};
+    std::size_t leader = 0;
+};
+
 } // namespace
 
 TEST_GROUP(DispatchEndedJobs){};
@@ -145,3 +182,49 @@
     }
     CHECK(world.runUntil([&] { return !world.store.items.contains(endKey(job)); }, endedAt + limit - world.time));
 }
+
+// Guards against a leader that steps down because a client asks for a job whose record it is removing itself.
+TEST(DispatchEndedJobs, AQueryDuringTheRemovalOfARecordDoesNotDeposeTheLeader)
+{
+    RemovalWithoutReply setup;
+    World &world = setup.world;
+    world.call(setup.leader, ClientCallKind::Query, job, "batch");
+    world.run(milliseconds(50));
+    CHECK_EQUAL(setup.leader, world.leaderIndex());
+}
+
+// Guards against the removal of a newer end: the id was accepted again while the removal of its record was delayed, and
+// the removal deleted the record of the second end.
+TEST(DispatchEndedJobs, ADelayedRemovalDoesNotDeleteALaterEndOfTheSameId)
+{
+    RemovalWithoutReply setup;
+    World &world = setup.world;
+    const std::size_t starts = world.starts;
+    world.submit(setup.leader, job, jobSpec(), "batch");
+    CHECK(world.runUntil([&] { return !world.store.items.contains(endKey(job)); }, milliseconds(8000)));
+    world.run(milliseconds(1000));
+    CHECK_EQUAL(starts, world.starts);
+    world.submit(setup.leader, job, jobSpec(), "batch");
+    CHECK(world.runUntil([&] { return world.store.items.contains(endKey(job)); }, milliseconds(3000)));
+    CHECK_EQUAL(starts + 2, world.starts);
+    world.run(milliseconds(8000));
+    CHECK(world.store.items.contains(endKey(job)));
+}
+
+// Guards against a record of observed revisions that grows with each change of leader: a leader that lasts for less
+// than the interval of the observations adds one and lets the others age by almost nothing.
+TEST(DispatchEndedJobs, TheRecordOfObservationsIsBoundedWhileLeadersChangeFast)
+{
+    World world(3, 4);
+    world.run(settleTime);
+    world.submit(world.leaderIndex(), job, jobSpec(), "batch");
+    CHECK(world.runUntil([&] { return world.store.items.contains(endKey(job)); }, milliseconds(3000)));
+    constexpr int changes = 60;
+    for (int i = 0; i < changes; ++i) {
+        world.run(milliseconds(4000));
+        CHECK(replaceLeader(world));
+    }
+    world.run(milliseconds(1000));
+    constexpr std::ptrdiff_t mostObservations = 30;
+    CHECK(std::ranges::count(world.store.items[std::string(retentionKey)].value, ':') <= mostObservations);
+}
