dispatch: an end whose record can't be read still keeps its id used

A record of an end with an unknown value was skipped when a leader loaded the records: a copy of the submission ran the job again (4 starts instead of 2), and a query found the record in the store, which the leader took for proof of another leader, so that it stepped down. The key alone proves that the id was used.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -124,22 +124,21 @@
     return *(dispatcher.jobs.live[id] = std::move(job));
 }
 
-void logRepeatedSubmission(JobId id, JobState state)
+void logRepeatedSubmission(JobId id, std::string_view state)
 {
-    logLine(LogLevel::Info, logPart, "Submission of a known job. job={} state={}", formatJobId(id),
-        isEnded(state) ? stateName(state) : "live");
+    logLine(LogLevel::Info, logPart, "Submission of a known job. job={} state={}", formatJobId(id), state);
 }
 
 void submit(Dispatcher &dispatcher, const ClientCall &call, Now now)
 {
     if (const auto ended = dispatcher.jobs.ended.find(call.job); ended != dispatcher.jobs.ended.end()) {
-        logRepeatedSubmission(call.job, ended->second);
+        logRepeatedSubmission(call.job, ended->second ? stateName(*ended->second) : "unreadable");
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok});
         return;
     }
     Job *known = findJob(dispatcher.jobs, call.job);
     if (known != nullptr && known->accepted) {
-        logRepeatedSubmission(call.job, known->state);
+        logRepeatedSubmission(call.job, isEnded(known->state) ? stateName(known->state) : "live");
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok});
         return;
     }
@@ -219,8 +218,12 @@
 void query(Dispatcher &dispatcher, const ClientCall &call, MonotonicTime now)
 {
     const auto ended = dispatcher.jobs.ended.find(call.job);
+    if (ended != dispatcher.jobs.ended.end() && !ended->second) {
+        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Unknown});
+        return;
+    }
     if (ended != dispatcher.jobs.ended.end()) {
-        reportEnd(dispatcher, call.call, call.job, ended->second);
+        reportEnd(dispatcher, call.call, call.job, *ended->second);
         return;
     }
     Job *job = findJob(dispatcher.jobs, call.job);
@@ -617,9 +620,10 @@
     dispatcher.unstoredJobs.insert(record.id);
 }
 
-void inheritEnd(Dispatcher &dispatcher, JobId id, const EndRecord &record, std::uint64_t revision, MonotonicTime now)
+void inheritEnd(
+    Dispatcher &dispatcher, JobId id, std::optional<JobState> state, std::uint64_t revision, MonotonicTime now)
 {
-    if (dispatcher.jobs.live.contains(id) || !dispatcher.jobs.ended.try_emplace(id, record.state).second) {
+    if (dispatcher.jobs.live.contains(id) || !dispatcher.jobs.ended.try_emplace(id, state).second) {
         return;
     }
     dispatcher.jobs.endedOrder.emplace(provenSince(dispatcher.endRetention, revision, now), id);
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -200,8 +200,10 @@
 /// Add jobs, workers and ends of a former leader from the store. The runs are read from the workers' lists.
 void inheritJob(Dispatcher &dispatcher, const JobRecord &record, std::string_view progress, Now now);
 void inheritWorkers(Dispatcher &dispatcher, std::span<const WorkerEntry> entries);
-/// `revision` is the store's revision at which the record was written.
-void inheritEnd(Dispatcher &dispatcher, JobId id, const EndRecord &record, std::uint64_t revision, MonotonicTime now);
+/// `revision` is the store's revision at which the record was written. Without a state if the record can't be read: its
+/// key still proves that the id was used.
+void inheritEnd(
+    Dispatcher &dispatcher, JobId id, std::optional<JobState> state, std::uint64_t revision, MonotonicTime now);
 
 /// Finishes the discovery of inherited runs once every worker has listed all of its runs and ends, or the deadline has
 /// passed and those that were contacted have. Inherited jobs can start then.
--- a/core/dispatch/job_table.h
+++ b/core/dispatch/job_table.h
@@ -9,6 +9,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -139,8 +140,9 @@
 struct JobTable
 {
     absl::flat_hash_map<JobId, std::unique_ptr<Job>> live;
-    /// Ended jobs, kept to answer queries of clients.
-    absl::flat_hash_map<JobId, JobState> ended;
+    /// Ended jobs, kept to answer queries of clients and to reject copies of their submissions. Without a state if the
+    /// record of the end can't be read.
+    absl::flat_hash_map<JobId, std::optional<JobState>> ended;
     /// Ended jobs by the time of their end; the oldest are removed first.
     std::set<std::pair<MonotonicTime, JobId>> endedOrder;
 };
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -445,11 +445,12 @@
 {
     const auto id = jobIdFromKey(item.key, endPrefix);
     const auto record = decodeEnd(item.value);
-    if (id && record) {
-        inheritEnd(*node.dispatcher, *id, *record, item.revision, now);
-    } else {
+    if (!id || !record) {
         logLine(LogLevel::Error, logPart, "The record of an ended job can't be read. key={}", item.key);
     }
+    if (id) {
+        inheritEnd(*node.dispatcher, *id, record ? std::optional(record->state) : std::nullopt, item.revision, now);
+    }
 }
 
 void handleEndsPage(Node &node, const StoreReply &reply, Now now)
--- a/tests/dispatch/ended_jobs_test.cpp
+++ b/tests/dispatch/ended_jobs_test.cpp
@@ -211,6 +211,38 @@
     CHECK(world.store.items.contains(endKey(job)));
 }
 
+// Guards against an id that counts as unused because the record of its end has a value that this version can't read.
+TEST(DispatchEndedJobs, AnEndThatCannotBeReadStillKeepsItsIdFromBeingAccepted)
+{
+    World world(3, 4);
+    world.run(settleTime);
+    world.submit(world.leaderIndex(), job, jobSpec(), "batch");
+    CHECK(world.runUntil([&] { return world.store.items.contains(endKey(job)); }, milliseconds(3000)));
+    world.store.items[endKey(job)].value = "done";
+    CHECK(replaceLeader(world));
+    world.run(milliseconds(500));
+    const std::size_t starts = world.starts;
+    world.submit(world.leaderIndex(), job, jobSpec(), "batch");
+    world.run(milliseconds(2000));
+    CHECK_EQUAL(starts, world.starts);
+}
+
+// Guards against a leader that steps down whenever a client asks for such an id.
+TEST(DispatchEndedJobs, AQueryOfAnEndThatCannotBeReadDoesNotDeposeTheLeader)
+{
+    World world(3, 4);
+    world.run(settleTime);
+    world.submit(world.leaderIndex(), job, jobSpec(), "batch");
+    CHECK(world.runUntil([&] { return world.store.items.contains(endKey(job)); }, milliseconds(3000)));
+    world.store.items[endKey(job)].value = "done";
+    CHECK(replaceLeader(world));
+    world.run(milliseconds(500));
+    const std::size_t leader = world.leaderIndex();
+    world.call(leader, ClientCallKind::Query, job, "batch");
+    world.run(milliseconds(100));
+    CHECK_EQUAL(leader, world.leaderIndex());
+}
+
 // Guards against a record of observed revisions that grows with each change of leader: a leader that lasts for less
 // than the interval of the observations adds one and lets the others age by almost nothing.
 TEST(DispatchEndedJobs, TheRecordOfObservationsIsBoundedWhileLeadersChangeFast)
