tests: daemons of the simulated world have clocks of their own

All daemons of a play shared one time of day and one monotonic clock, so that a decision that compares times of two machines was right by construction. With WorldRules::daemonClocks each start of a daemon draws offsets: seconds to an hour either way for the time of day, up to 100 days for the monotonic clock. The fault "time of day jumps" changes the first for a time. World passes the daemon's own times to each function of a node.

--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -15,6 +15,10 @@
 
 constexpr milliseconds tickInterval{10};
 constexpr milliseconds workStep{10};
+/// A daemon's time of day is off by this at most, its monotonic clock begins at most this long before the process.
+constexpr std::uint64_t mostWallOffsetMs = 3600000;
+constexpr std::uint64_t leastWallOffsetMs = 1000;
+constexpr std::uint64_t mostUptimeMs = 100ULL * 24 * 3600000;
 
 } // namespace
 
@@ -90,7 +94,18 @@
 
 Now World::nowAt(std::size_t node) const
 {
-    return {.monotonic = MonotonicTime(time), .wall = wallStart + time + nodes[node].wallOffset};
+    const WorldNode &target = nodes[node];
+    return {.monotonic = MonotonicTime(time + target.monotonicOffset),
+        .wall = wallStart + time + target.wallOffset + target.wallJump};
+}
+
+void World::drawClocks(std::size_t node)
+{
+    // Halving the limits makes offsets of seconds as frequent as those of an hour.
+    const std::uint64_t wall
+        = leastWallOffsetMs + randomBelow(random, (mostWallOffsetMs - leastWallOffsetMs) >> randomBelow(random, 10));
+    nodes[node].wallOffset = milliseconds(wall) * (randomBelow(random, 2) == 0 ? -1 : 1);
+    nodes[node].monotonicOffset = milliseconds(randomBelow(random, mostUptimeMs >> randomBelow(random, 24)));
 }
 
 void World::after(milliseconds delay, std::function<void()> act)
@@ -113,6 +128,9 @@
     target.node->outbox.nextCall = nextRandom(random) >> 8;
     target.connected = false;
     target.dialled.reset();
+    if (rules.daemonClocks) {
+        drawClocks(node);
+    }
 }
 
 void World::kill(std::size_t node)
@@ -121,8 +139,8 @@
     for (std::size_t i = 0; i < nodes.size(); ++i) {
         if (i != node && nodes[i].up && nodes[i].connected && nodes[i].connectedTo == nodes[node].node->options.name) {
             nodes[i].connected = false;
-            handleNodeDisconnected(*nodes[i].node, nodes[node].node->options.name, now());
-            handleDialFailure(*nodes[i].node, *nodes[i].dialled, true, now());
+            handleNodeDisconnected(*nodes[i].node, nodes[node].node->options.name, nowAt(i));
+            handleDialFailure(*nodes[i].node, *nodes[i].dialled, true, nowAt(i));
         }
     }
     nodes[node].up = false;
@@ -146,7 +164,7 @@
     // A daemon counts as disconnected with its last connection; the other daemon may have connected too.
     const bool hasOther = to && nodes[*to].connected && nodes[*to].connectedTo == from.node->options.name;
     if (to && nodes[*to].up && !hasOther) {
-        handleNodeDisconnected(*nodes[*to].node, from.node->options.name, now());
+        handleNodeDisconnected(*nodes[*to].node, from.node->options.name, nowAt(*to));
     }
 }
 
@@ -199,13 +217,13 @@
         }
         const auto to = nodeAt(endpoint);
         if (!to) {
-            handleDialFailure(*nodes[from].node, endpoint, true, now());
+            handleDialFailure(*nodes[from].node, endpoint, true, nowAt(from));
             return;
         }
         nodes[from].connected = true;
         nodes[from].connectedTo = nodes[*to].node->options.name;
-        handleNodeConnected(*nodes[from].node, nodes[*to].node->options.name, now());
-        handleNodeConnected(*nodes[*to].node, nodes[from].node->options.name, now());
+        handleNodeConnected(*nodes[from].node, nodes[*to].node->options.name, nowAt(from));
+        handleNodeConnected(*nodes[*to].node, nodes[from].node->options.name, nowAt(*to));
     });
 }
 
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -47,6 +47,8 @@
     bool gangs = false;
     /// Workers' clocks begin with each incarnation, and leases are capped.
     bool ownClocks = false;
+    /// Each start of a daemon draws offsets of its clocks.
+    bool daemonClocks = false;
     /// Checks the platform's rules on repeated starts as written: an end counts only if it was acknowledged. Otherwise
     /// no task may start after any end as done.
     bool acknowledgedEndsCount = false;
@@ -158,8 +160,11 @@
     milliseconds linkFreeAt{0};
     /// Messages of other daemons do not arrive.
     bool dropsPeerMessages = false;
-    /// Added to the daemon's time of day.
+    /// Added to the daemon's time of day, and what is added to it while it is wrong by a jump.
     milliseconds wallOffset{0};
+    milliseconds wallJump{0};
+    /// Added to the process's monotonic clock.
+    milliseconds monotonicOffset{0};
     std::optional<Endpoint> dialled;
     bool connected = false;
     std::string connectedTo;
@@ -190,6 +195,8 @@
     /// The daemon stops without closing its connections.
     void cutPower(std::size_t node);
     void restart(std::size_t node);
+    /// Draws the offsets of a daemon's clocks, before its process has run.
+    void drawClocks(std::size_t node);
     void crashWorker(std::size_t worker);
     /// The worker starts again under its id with the next incarnation.
     void restartWorker(std::size_t worker);
@@ -207,6 +214,7 @@
     Node *leader();
     std::size_t leaderIndex() const;
 
+    /// The time as a clock without offsets shows it.
     Now now() const;
     /// The time as the daemon's clocks show it.
     Now nowAt(std::size_t node) const;
--- a/tests/dispatch/dispatch_world_test.cpp
+++ b/tests/dispatch/dispatch_world_test.cpp
@@ -113,3 +113,19 @@
     CHECK(world.workers[0].leaseUntil <= milliseconds(6300));
     CHECK_EQUAL(2, world.workers[0].entry.incarnation);
 }
+
+// Guards against daemons that share one clock, which hides decisions that compare times of two machines.
+TEST(DispatchWorld, DaemonsThatRestartOrJoinHaveClocksOfTheirOwn)
+{
+    World world(2, 1);
+    world.rules.daemonClocks = true;
+    world.restart(0);
+    const Now before = world.nowAt(0);
+    world.restart(0);
+    const std::size_t joined = world.addNode();
+    CHECK(before.wall != world.nowAt(0).wall);
+    CHECK(before.monotonic != world.nowAt(0).monotonic);
+    CHECK(world.nowAt(joined).wall != world.nowAt(0).wall);
+    CHECK(world.nowAt(joined).monotonic != world.nowAt(0).monotonic);
+    CHECK(world.nowAt(1).wall == world.now().wall);
+}
--- a/tests/dispatch/random_faults.cpp
+++ b/tests/dispatch/random_faults.cpp
@@ -130,7 +130,7 @@
         return;
     }
     world.nodes[node].removed = true;
-    beginShutdown(*world.nodes[node].node, world.now());
+    beginShutdown(*world.nodes[node].node, world.nowAt(node));
     world.after(fault.length, [&world, node, process = world.nodes[node].node.get()] {
         if (world.nodes[node].up && world.nodes[node].node.get() == process) {
             world.kill(node);
@@ -209,6 +209,15 @@
     return milliseconds(100 + (fault.pick >> 4) % 2900);
 }
 
+/// From seconds to an hour, either way.
+milliseconds wallJumpOf(const Fault &fault)
+{
+    constexpr std::uint64_t leastMs = 1000;
+    constexpr std::uint64_t mostMs = 3600000;
+    const milliseconds jump(leastMs + (fault.pick >> 8) % ((mostMs - leastMs) >> (fault.pick >> 4) % 10));
+    return fault.pick % 2 == 0 ? jump : -jump;
+}
+
 constexpr milliseconds instant{0};
 constexpr milliseconds moment{200};
 constexpr milliseconds brief{1500};
@@ -275,6 +284,9 @@
         moment, whole},
     {"daemon joins", addDaemon, instant, instant},
     {"daemon leaves", removeDaemon, moment, brief},
+    {"time of day jumps",
+        [](World &world, const Fault &fault) { setOnNode(world, fault, &WorldNode::wallJump, wallJumpOf(fault)); },
+        moment, whole},
 });
 
 } // namespace
@@ -300,6 +312,7 @@
         node.pauseAfterWrite = {};
         node.storeLatency = {};
         node.peerLatency = {};
+        node.wallJump = {};
         node.dropsPeerMessages = false;
         restartLater(world, i, milliseconds(0));
     }
--- a/tests/dispatch/random_plans.cpp
+++ b/tests/dispatch/random_plans.cpp
@@ -34,7 +34,7 @@
     {.name = "clocks and pauses",
         .types = {"pause daemon", "pause after write", "slow store link", "slow peer link", "store silent",
             "store refuses one", "store silent for one", "store replies lost for one", "keep-alives unanswered",
-            "leases revoked", "late writes", "links cut"},
+            "leases revoked", "late writes", "links cut", "time of day jumps"},
         .fewest = 5},
     {.name = "two leaders",
         .types = {"kill daemon", "cut power", "pause daemon", "pause after write", "slow peer link",
@@ -263,9 +263,13 @@
     World &world = play.world;
     world.rules = {.gangs = true,
         .ownClocks = true,
+        .daemonClocks = true,
         .acknowledgedEndsCount = true,
         .lateOrdersReachNextIncarnation = plan.lateOrdersReachNextIncarnation,
         .directoryDelay = milliseconds(randomBelow(play.random, 2000))};
+    for (std::size_t node = 0; node < world.nodes.size(); ++node) {
+        world.drawClocks(node);
+    }
     world.stopTime = milliseconds(between(play.random, 50, 800));
     for (WorldWorker &worker : world.workers) {
         worker.clockStart = -milliseconds(randomBelow(play.random, 500000));
