tests: copies of accepted submissions arrive late in the plays

PROTOCOL.md says that a request may arrive again seconds after the 2xx answer. Half of the planned jobs get a copy 0.5 to 30 s after their acceptance, at a daemon that runs then, and some get two. A play lasts until 3 s after the last copy, so that tasks that it starts again are seen.

--- a/tests/dispatch/random_faults.h
+++ b/tests/dispatch/random_faults.h
@@ -41,6 +41,8 @@
     JobId id = 0;
     JobSpec spec;
     bool urgent = false;
+    /// How long after the acceptance copies of the submission arrive.
+    std::vector<milliseconds> copies;
 };
 
 /// A load and an overlapping series of faults, drawn from a seed.
--- a/tests/dispatch/random_plans.cpp
+++ b/tests/dispatch/random_plans.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds recoveryTime{60000};
 /// Jobs that a client submits again after a call without a final answer.
 constexpr milliseconds clientPatience{3500};
+/// Time after a late copy in which a job that it starts again is seen.
+constexpr milliseconds copyTime{3000};
 
 const std::array mixes = std::to_array<FaultMix>({
     {.name = "all", .types = {}},
@@ -75,6 +77,11 @@
         second.after = {0};
         job.spec = {.payload = "p", .steps = {single, second}};
     }
+    const std::uint64_t copyDraw = randomBelow(random, 6);
+    const std::size_t copies = copyDraw < 3 ? 0 : copyDraw - 2;
+    for (std::size_t i = 0; i < std::min<std::size_t>(copies, 2); ++i) {
+        job.copies.push_back(millisBetween(random, 500, randomBelow(random, 3) == 0 ? 30000 : 6000));
+    }
     return job;
 }
 
@@ -114,6 +121,8 @@
     std::map<JobId, Submission> submissions;
     std::map<JobId, JobState> ended;
     std::set<std::uint64_t> claims;
+    /// When the last late copy arrives.
+    milliseconds lastCopyAt{0};
     bool trace = false;
 };
 
@@ -131,14 +140,32 @@
     return count;
 }
 
+std::string_view queueOf(const PlannedJob &job)
+{
+    return job.urgent ? "urgent" : "batch";
+}
+
 void submitJob(Play &play, const PlannedJob &job)
 {
     const std::size_t node = entryNode(play);
     Submission &submission = play.submissions[job.id];
     submission.lastAt = play.world.time;
     if (node < play.world.nodes.size()) {
-        const std::string_view queue = job.urgent ? "urgent" : "batch";
-        submission.calls.push_back(play.world.submit(node, job.id, job.spec, queue));
+        submission.calls.push_back(play.world.submit(node, job.id, job.spec, queueOf(job)));
+    }
+}
+
+/// The platform delivers some requests again after their acceptance. The answer to such a copy reaches no client.
+void scheduleCopies(Play &play, const PlannedJob &job)
+{
+    for (const milliseconds delay : job.copies) {
+        play.lastCopyAt = std::max(play.lastCopyAt, play.world.time + delay);
+        play.world.after(delay, [&play, &job] {
+            const std::size_t node = entryNode(play);
+            if (node < play.world.nodes.size()) {
+                play.world.submit(node, job.id, job.spec, queueOf(job));
+            }
+        });
     }
 }
 
@@ -159,6 +186,9 @@
             answeredAll = answeredAll && answer;
         }
         submission.refused = refusedAll;
+        if (submission.accepted) {
+            scheduleCopies(play, job);
+        }
         const bool due = play.world.time - submission.lastAt > clientPatience
             || (answeredAll && !submission.calls.empty() && !refusedAll);
         if (!submission.accepted && !refusedAll && due) {
@@ -340,6 +370,7 @@
         .submissions = {},
         .ended = {},
         .claims = {},
+        .lastCopyAt = {},
         .trace = plan.trace};
     setUp(play, plan);
     play.world.run(settleTime);
@@ -358,7 +389,10 @@
     }
     endAllFaults(play.world);
     const milliseconds limit = play.world.time + recoveryTime;
-    while (play.world.time < limit && (!isSettled(play) || limit - play.world.time > recoveryTime - playTime / 2)) {
+    const milliseconds shortestEnd = play.world.time + playTime / 2;
+    const auto isOver
+        = [&] { return play.world.time >= std::max(shortestEnd, play.lastCopyAt + copyTime) && isSettled(play); };
+    while (play.world.time < limit && !isOver()) {
         step(play, plan.jobs);
     }
     checkOutcomes(play);
@@ -386,11 +420,13 @@
             faultTypes()[fault.type].name, fault.length.count(), fault.pick, fault.onLeader ? ", on the leader" : "");
     }
     for (const PlannedJob &job : plan.jobs) {
-        text += fmt::format(
-            "  {} ms: job {} in {}:", (settleTime + job.at).count() + 1000, job.id, job.urgent ? "urgent" : "batch");
+        text += fmt::format("  {} ms: job {} in {}:", (settleTime + job.at).count() + 1000, job.id, queueOf(job));
         for (const StepSpec &spec : job.spec.steps) {
             text += fmt::format(" {} x {} ms{}", spec.count, spec.estimate.count(), spec.gang ? " gang" : "");
         }
+        for (const milliseconds delay : job.copies) {
+            text += fmt::format(", copy after {} ms", delay.count());
+        }
         text += "\n";
     }
     return text;
