tests: clients cancel jobs in the plays

A quarter of the jobs are cancelled 0.05 to 3 s after their acceptance; the call is repeated at another daemon until it is answered Ok or NoSuchJob. Checks: - UNASKED: a task starts more than 3 s after the acknowledgement, or still works at the end of the play. Queries that were sent before the acceptance or before the shown end may have older answers. The checks of run_history have tests of their own.

--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -310,6 +310,7 @@
         .queue = *findQueueByName(configuration, std::string(queue)),
         .submittedAt = nowAt(at).wall,
         .spec = spec};
+    m_sentCalls[call] = {.kind = ClientCallKind::Submit, .job = id, .sentAt = time};
     submittedAt.try_emplace(id, time);
     specs.try_emplace(id, spec);
     handleClientCall(node,
@@ -326,9 +327,7 @@
 {
     Node &node = *nodes[at].node;
     const CallId call = node.outbox.newCall();
-    if (kind == ClientCallKind::Query) {
-        m_callJobs[call] = id;
-    }
+    m_sentCalls[call] = {.kind = kind, .job = id, .sentAt = time};
     handleClientCall(node, {.call = call, .kind = kind, .queue = std::string(queue), .job = id, .record = {}},
         milliseconds(3000), nowAt(at));
     return call;
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -258,6 +258,14 @@
     std::map<JobId, milliseconds> submittedAt;
 
 private:
+    /// A client's call about a job.
+    struct SentCall
+    {
+        ClientCallKind kind = ClientCallKind::Query;
+        JobId job = 0;
+        milliseconds sentAt{0};
+    };
+
     struct Event
     {
         milliseconds at;
@@ -323,6 +331,7 @@
     StoreReply range(const StoreRange &range) const;
     /// True if the job is unknown.
     bool needsTicket(JobId id);
+    void recordAnswer(const SentCall &sent, const ClientAnswer &answer, std::string_view node);
     OrderReply start(const StartRun &order);
     OrderReply stop(const StopRun &order);
     std::optional<RenewReply> renew(std::size_t worker, const RenewWorker &renewal);
@@ -337,7 +346,9 @@
 
     std::priority_queue<Event> m_events;
     std::uint64_t m_order = 0;
-    std::map<CallId, JobId> m_callJobs;
+    std::map<CallId, SentCall> m_sentCalls;
+    /// The order that a worker carries out was delayed on its way (WorldRules::lateOrderPercent).
+    bool m_isOrderLate = false;
     milliseconds m_nextTick{0};
 };
 
--- a/tests/dispatch/dispatch_world_calls.cpp
+++ b/tests/dispatch/dispatch_world_calls.cpp
@@ -214,7 +214,9 @@
     after(delay, [this, worker, life, act = std::move(act)] {
         const bool reached = lifeOf(workers[worker]) == life || rules.lateOrdersReachNextIncarnation;
         if (workers[worker].up && reached) {
+            m_isOrderLate = true;
             act();
+            m_isOrderLate = false;
         }
     });
 }
@@ -337,11 +339,28 @@
 void World::carryOut(std::size_t node, const AnswerClient &answered)
 {
     answers[answered.answer.call] = answered.answer;
-    const auto query = m_callJobs.find(answered.answer.call);
-    const bool done = answered.answer.outcome == ClientOutcome::Ok && answered.answer.state == JobState::Done;
-    if (rules.acknowledgedEndsCount && done && query != m_callJobs.end()) {
-        report(recordShownDone(history, query->second, specs[query->second],
-            fmt::format("by {} at {} ms", nodes[node].node->options.name, time.count())));
+    const auto sent = m_sentCalls.find(answered.answer.call);
+    if (rules.acknowledgedEndsCount && sent != m_sentCalls.end()) {
+        recordAnswer(sent->second, answered.answer, nodes[node].node->options.name);
+    }
+}
+
+void World::recordAnswer(const SentCall &sent, const ClientAnswer &answer, std::string_view node)
+{
+    const std::string where = fmt::format("by {} at {} ms", node, time.count());
+    const CallTimes times{.sentAt = sent.sentAt, .answeredAt = time};
+    const bool ok = answer.outcome == ClientOutcome::Ok;
+    if (sent.kind == ClientCallKind::Submit && ok) {
+        recordAccepted(history, sent.job, time);
+    } else if (sent.kind == ClientCallKind::Cancel && ok) {
+        recordCancelled(history, sent.job, time);
+    } else if (sent.kind == ClientCallKind::Query && ok) {
+        report(recordShownState(history, sent.job, answer.state, times, where));
+        if (answer.state == JobState::Done) {
+            report(recordShownDone(history, sent.job, specs[sent.job], where));
+        }
+    } else if (sent.kind == ClientCallKind::Query && answer.outcome == ClientOutcome::NoSuchJob) {
+        report(checkNoSuchJob(history, sent.job, times, DispatchBounds{}.keepEnded, where));
     }
 }
 
--- a/tests/dispatch/dispatch_world_workers.cpp
+++ b/tests/dispatch/dispatch_world_workers.cpp
@@ -213,8 +213,11 @@
         }
     }
     if (rules.acknowledgedEndsCount) {
-        report(recordStart(history, historyUnit(run.task, run.gang), run.attempt,
-            fmt::format("on {} at {} ms", target.entry.id, time.count())));
+        const std::string where = fmt::format("on {} at {} ms", target.entry.id, time.count());
+        report(recordStart(history, historyUnit(run.task, run.gang), run.attempt, where));
+        if (!m_isOrderLate) {
+            report(checkStartTime(history, run.task.step.job, time, where));
+        }
         return;
     }
     if (doneTasks.contains(run.task)) {
--- a/tests/dispatch/random_faults.h
+++ b/tests/dispatch/random_faults.h
@@ -2,6 +2,7 @@
 
 #include "tests/dispatch/dispatch_world.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,8 @@
     bool urgent = false;
     /// How long after the acceptance copies of the submission arrive.
     std::vector<milliseconds> copies;
+    /// How long after the acceptance a client cancels the job; empty if none does.
+    std::optional<milliseconds> cancelAfter;
 };
 
 /// A load and an overlapping series of faults, drawn from a seed.
--- a/tests/dispatch/random_plans.cpp
+++ b/tests/dispatch/random_plans.cpp
@@ -21,10 +21,13 @@
 /// Longest time from the last fault until all accepted jobs have ended: orders may still be carried out for 12 s, and
 /// a takeover waits for leases.
 constexpr milliseconds recoveryTime{60000};
-/// Jobs that a client submits again after a call without a final answer.
+/// When a client submits or cancels a job again after a call without a final answer.
 constexpr milliseconds clientPatience{3500};
 /// Time after a late copy in which a job that it starts again is seen.
 constexpr milliseconds copyTime{3000};
+/// How long after its start a task of a cancelled job may work, even if the worker carried the order out late:
+/// contactMs, cancel_ms and stopMs of the platform's contract.
+constexpr milliseconds longestCancelledRun = milliseconds(3000) + cancelLimit + milliseconds(900);
 
 const std::array mixes = std::to_array<FaultMix>({
     {.name = "all", .types = {}},
@@ -82,6 +85,9 @@
     for (std::size_t i = 0; i < std::min<std::size_t>(copies, 2); ++i) {
         job.copies.push_back(millisBetween(random, 500, randomBelow(random, 3) == 0 ? 30000 : 6000));
     }
+    if (randomBelow(random, 4) == 0) {
+        job.cancelAfter = millisBetween(random, 50, 3000);
+    }
     return job;
 }
 
@@ -111,6 +117,12 @@
     bool accepted = false;
     bool refused = false;
     bool unclear = false;
+    /// Calls that cancel the job, once its client has sent one.
+    std::vector<CallId> cancels;
+    std::size_t cancelledAtNode = 0;
+    milliseconds cancelSentAt{0};
+    bool cancelDue = false;
+    bool cancelAnswered = false;
 };
 
 /// What the play knows besides the world.
@@ -169,6 +181,45 @@
     }
 }
 
+/// Sends the cancellation to another daemon than the last time, if one runs.
+void cancelJob(Play &play, const PlannedJob &job)
+{
+    Submission &submission = play.submissions[job.id];
+    submission.cancelDue = true;
+    submission.cancelSentAt = play.world.time;
+    std::size_t node = entryNode(play);
+    for (int tries = 0; tries < 4 && !submission.cancels.empty() && node == submission.cancelledAtNode; ++tries) {
+        node = entryNode(play);
+    }
+    if (node < play.world.nodes.size()) {
+        submission.cancelledAtNode = node;
+        submission.cancels.push_back(play.world.call(node, ClientCallKind::Cancel, job.id, queueOf(job)));
+    }
+}
+
+void followCancels(Play &play, std::span<const PlannedJob> jobs)
+{
+    for (const PlannedJob &job : jobs) {
+        const auto found = play.submissions.find(job.id);
+        if (found == play.submissions.end() || !found->second.cancelDue || found->second.cancelAnswered) {
+            continue;
+        }
+        Submission &submission = found->second;
+        bool answeredAll = !submission.cancels.empty();
+        for (const CallId call : submission.cancels) {
+            const auto answer = play.world.answerTo(call);
+            const bool isFinal
+                = answer && (answer->outcome == ClientOutcome::Ok || answer->outcome == ClientOutcome::NoSuchJob);
+            submission.cancelAnswered = submission.cancelAnswered || isFinal;
+            answeredAll = answeredAll && answer;
+        }
+        const bool due = answeredAll || play.world.time - submission.cancelSentAt > clientPatience;
+        if (!submission.cancelAnswered && due) {
+            cancelJob(play, job);
+        }
+    }
+}
+
 void followSubmissions(Play &play, std::span<const PlannedJob> jobs)
 {
     for (const PlannedJob &job : jobs) {
@@ -188,6 +239,9 @@
         submission.refused = refusedAll;
         if (submission.accepted) {
             scheduleCopies(play, job);
+            if (job.cancelAfter) {
+                play.world.after(*job.cancelAfter, [&play, &job] { cancelJob(play, job); });
+            }
         }
         const bool due = play.world.time - submission.lastAt > clientPatience
             || (answeredAll && !submission.calls.empty() && !refusedAll);
@@ -226,7 +280,9 @@
 bool isSettled(const Play &play)
 {
     return std::ranges::all_of(play.submissions, [&play](const auto &entry) {
-        return entry.second.refused || (entry.second.accepted && play.ended.contains(entry.first));
+        const Submission &submission = entry.second;
+        const bool isCancelOpen = submission.cancelDue && !submission.cancelAnswered;
+        return submission.refused || (submission.accepted && play.ended.contains(entry.first) && !isCancelOpen);
     });
 }
 
@@ -238,6 +294,7 @@
     }
     play.world.run(play.trace ? traceInterval : checkInterval);
     followSubmissions(play, jobs);
+    followCancels(play, jobs);
     noteEnds(play);
     if (const Node *leader = play.world.leader()) {
         play.claims.insert(leader->leadership.leader.token);
@@ -259,6 +316,23 @@
     });
 }
 
+/// All faults ended long ago, so runs of cancelled jobs have to be gone.
+void checkCancelledRuns(Play &play)
+{
+    for (const WorldWorker &worker : play.world.workers) {
+        for (const WorldRun &run : worker.runs) {
+            const auto job = play.world.history.jobs.find(run.task.step.job);
+            const bool isCancelled = job != play.world.history.jobs.end() && job->second.cancelledAt;
+            const milliseconds since
+                = isCancelled ? std::max(*job->second.cancelledAt, run.startedAt) : milliseconds(0);
+            if (isCancelled && play.world.time - since > longestCancelledRun) {
+                play.world.violations.push_back(fmt::format("UNASKED: {} works {} ms after its job was cancelled",
+                    formatTaskKey(run.task), (play.world.time - since).count()));
+            }
+        }
+    }
+}
+
 void checkOutcomes(Play &play)
 {
     std::vector<std::string> &broken = play.world.violations;
@@ -267,9 +341,14 @@
         const std::string name = formatJobId(id);
         if (submission.accepted && ended == play.ended.end()) {
             broken.push_back(fmt::format("LOST: accepted job {} has not ended", name));
-        } else if (submission.accepted && ended->second != JobState::Done && !mayFail(play, id)) {
+        } else if (submission.accepted && ended->second == JobState::Cancelled && submission.cancels.empty()) {
+            broken.push_back(fmt::format("LOST: job {} ended as cancelled and nobody cancelled it", name));
+        } else if (submission.accepted && ended->second == JobState::Failed && !mayFail(play, id)) {
             broken.push_back(fmt::format("LOST: job {} ended as {}", name, stateName(ended->second)));
         }
+        if (submission.cancelDue && !submission.cancelAnswered) {
+            broken.push_back(fmt::format("ACKS: the cancellation of job {} has no final answer", name));
+        }
         const bool started = std::ranges::any_of(play.world.history.units,
             [id = id](const auto &entry) { return entry.first.step.job == id && !entry.second.starts.empty(); });
         if (submission.refused && started) {
@@ -396,6 +475,7 @@
         step(play, plan.jobs);
     }
     checkOutcomes(play);
+    checkCancelledRuns(play);
     const auto accepted
         = std::ranges::count_if(play.submissions, [](const auto &entry) { return entry.second.accepted; });
     return {.violations = std::move(play.world.violations),
@@ -424,6 +504,9 @@
         for (const StepSpec &spec : job.spec.steps) {
             text += fmt::format(" {} x {} ms{}", spec.count, spec.estimate.count(), spec.gang ? " gang" : "");
         }
+        if (job.cancelAfter) {
+            text += fmt::format(", cancelled after {} ms", job.cancelAfter->count());
+        }
         for (const milliseconds delay : job.copies) {
             text += fmt::format(", copy after {} ms", delay.count());
         }
--- a/tests/dispatch/run_history.cpp
+++ b/tests/dispatch/run_history.cpp
@@ -1,5 +1,8 @@
 #include "tests/dispatch/run_history.h"
 
+#include "core/dispatch/job_table.h"
+#include "core/dispatch/records.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -107,6 +110,58 @@
     return {};
 }
 
+std::vector<std::string> recordShownState(
+    RunHistory &history, JobId job, JobState state, CallTimes times, std::string_view where)
+{
+    HistoryJob &known = history.jobs[job];
+    if (known.shownEnd && state != *known.shownEnd && times.sentAt > known.shownEndAt) {
+        return {fmt::format("SHOWN: job {} has ended as {} and is shown as {}, {}", formatJobId(job),
+            stateName(*known.shownEnd), isEnded(state) ? stateName(state) : "live", where)};
+    }
+    if (!known.shownEnd && isEnded(state)) {
+        known.shownEnd = state;
+        known.shownEndAt = times.answeredAt;
+    }
+    return {};
+}
+
+std::vector<std::string> checkNoSuchJob(
+    const RunHistory &history, JobId job, CallTimes times, milliseconds keptFor, std::string_view where)
+{
+    const auto found = history.jobs.find(job);
+    if (found == history.jobs.end() || !found->second.acceptedAt) {
+        return {};
+    }
+    // A job ends after its acceptance, so it is known for at least this long.
+    const milliseconds acceptedAt = *found->second.acceptedAt;
+    if (times.sentAt <= acceptedAt || times.answeredAt > acceptedAt + keptFor) {
+        return {};
+    }
+    return {fmt::format("LOST: accepted job {} is said not to exist, {}", formatJobId(job), where)};
+}
+
+std::vector<std::string> checkStartTime(const RunHistory &history, JobId job, milliseconds at, std::string_view where)
+{
+    const auto found = history.jobs.find(job);
+    if (found == history.jobs.end() || !found->second.cancelledAt || at - *found->second.cancelledAt <= cancelLimit) {
+        return {};
+    }
+    return {fmt::format("UNASKED: job {} starts {} ms after its cancellation was acknowledged, {}", formatJobId(job),
+        (at - *found->second.cancelledAt).count(), where)};
+}
+
+void recordAccepted(RunHistory &history, JobId job, milliseconds at)
+{
+    std::optional<milliseconds> &acceptedAt = history.jobs[job].acceptedAt;
+    acceptedAt = acceptedAt.value_or(at);
+}
+
+void recordCancelled(RunHistory &history, JobId job, milliseconds at)
+{
+    std::optional<milliseconds> &cancelledAt = history.jobs[job].cancelledAt;
+    cancelledAt = cancelledAt.value_or(at);
+}
+
 void recordEnd(RunHistory &history, const TaskKey &unit, const EndedTask &ended, const WorkerLife &life)
 {
     std::vector<HistoryEnd> &ends = history.units[unit].ends;
--- a/tests/dispatch/run_history_test.cpp
+++ b/tests/dispatch/run_history_test.cpp
@@ -95,3 +95,46 @@
     CHECK_EQUAL(0, acknowledge(1));
     CHECK_EQUAL(1, recordStart(history, second, 2, "on w1").size());
 }
+
+TEST(RunHistory, AStartLongAfterTheAcknowledgedCancellationIsReported)
+{
+    const JobId job = task.step.job;
+    recordAccepted(history, job, milliseconds(1000));
+    CHECK_EQUAL(0, checkStartTime(history, job, milliseconds(60000), "on w0").size());
+    recordCancelled(history, job, milliseconds(2000));
+    recordCancelled(history, job, milliseconds(4000));
+    CHECK_EQUAL(0, checkStartTime(history, job, milliseconds(2000) + cancelLimit, "on w0").size());
+    CHECK_EQUAL(1, checkStartTime(history, job, milliseconds(2001) + cancelLimit, "on w0").size());
+    CHECK_EQUAL(0, checkStartTime(history, job + 1, milliseconds(60000), "on w0").size());
+}
+
+TEST(RunHistory, AnAcceptedJobThatIsSaidNotToExistIsReported)
+{
+    const JobId job = task.step.job;
+    const milliseconds kept{120000};
+    const auto check = [&](std::int64_t sentAt, std::int64_t answeredAt) {
+        return checkNoSuchJob(history, job, {milliseconds(sentAt), milliseconds(answeredAt)}, kept, "by n0").size();
+    };
+    CHECK_EQUAL(0, check(2000, 2010));
+    recordAccepted(history, job, milliseconds(1000));
+    recordAccepted(history, job, milliseconds(50000));
+    CHECK_EQUAL(0, check(900, 1010));
+    CHECK_EQUAL(1, check(1001, 1010));
+    CHECK_EQUAL(1, check(110000, 121000));
+    CHECK_EQUAL(0, check(121000, 121001));
+}
+
+TEST(RunHistory, AnotherStateAfterAnEndThatWasShownIsReported)
+{
+    const JobId job = task.step.job;
+    const auto show = [&](JobState state, std::int64_t sentAt, std::int64_t answeredAt) {
+        return recordShownState(history, job, state, {milliseconds(sentAt), milliseconds(answeredAt)}, "by n0").size();
+    };
+    CHECK_EQUAL(0, show(JobState::Running, 900, 910));
+    CHECK_EQUAL(0, show(JobState::Cancelled, 1000, 1100));
+    // This query had been sent before the end was shown.
+    CHECK_EQUAL(0, show(JobState::Running, 1050, 1200));
+    CHECK_EQUAL(0, show(JobState::Cancelled, 1300, 1310));
+    CHECK_EQUAL(1, show(JobState::Queued, 1300, 1310));
+    CHECK_EQUAL(1, show(JobState::Done, 1300, 1310));
+}
