dispatch: count the age of a submission by the leader's clock

The leader took the age of a submission from the time of day of the daemon that received it and its own. If that daemon's clock was an hour behind, an urgent job was very late on arrival: it came after all others and could not pre-empt. A submission is now as old as the leader has it. The wait for a leader before that, seconds at most, no longer counts towards its due time.

AJobIsNotLateBecauseTheClocksOfTwoDaemonsDiffer failed before: the urgent job did not start within 1.5 s. It passes with this change.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -107,12 +107,10 @@
     return std::chrono::floor<milliseconds>(path) + record.queue.target;
 }
 
-Job &addJob(Dispatcher &dispatcher, JobRecord record, Now now)
+Job &addJob(Dispatcher &dispatcher, JobRecord record, MonotonicTime submittedAt)
 {
     auto job = std::make_unique<Job>();
-    // The time of day may differ between daemons; a submission is never in the future.
-    const auto age = std::max(milliseconds(0), now.wall - record.submittedAt);
-    job->submittedAt = now.monotonic - age;
+    job->submittedAt = submittedAt;
     job->dueBy = job->submittedAt + timeUntilLate(record);
     const bool isTimed = record.spec.repeatCount > 0;
     job->record = std::move(record);
@@ -169,7 +167,8 @@
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Impossible});
         return;
     }
-    Job &job = addJob(dispatcher, std::move(*record), now);
+    // The record has the time of day of the daemon that received the submission, which may differ from this one's.
+    Job &job = addJob(dispatcher, std::move(*record), now.monotonic);
     job.arrivedAt = now.monotonic;
     job.waitingSubmits.push_back(call.call);
     Commit commit{.tag = {.kind = CommitKind::Accept, .job = call.job},
@@ -603,7 +602,9 @@
 
 void inheritJob(Dispatcher &dispatcher, const JobRecord &record, std::string_view progress, Now now)
 {
-    Job &job = addJob(dispatcher, record, now);
+    // The time of day may differ between daemons; a submission is never in the future.
+    const auto age = std::max(milliseconds(0), now.wall - record.submittedAt);
+    Job &job = addJob(dispatcher, record, now.monotonic - age);
     job.accepted = true;
     job.inherited = true;
     if (progress.empty()) {
--- /dev/null
+++ b/tests/dispatch/first_turn_test.cpp
@@ -0,0 +1,58 @@
+#include "tests/dispatch/dispatch_world.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wigeonkeel;
+using namespace wigeonkeel::dispatch;
+
+namespace
+{
+
+constexpr milliseconds settleTime{3000};
+constexpr JobId fillerJob = 0xf1;
+constexpr JobId urgentJob = 0xf2;
+constexpr std::size_t urgentTasks = 2;
+
+/// Tasks that fill both workers of a world for this long.
+JobSpec filler(milliseconds estimate, bool checkpointed)
+{
+    JobSpec spec{.payload = "f", .steps = {stepOf(8, 1000, estimate)}};
+    spec.steps[0].checkpointed = checkpointed;
+    return spec;
+}
+
+JobSpec urgentSpec()
+{
+    return {.payload = "u", .steps = {stepOf(urgentTasks, 1000, milliseconds(300))}};
+}
+
+bool isRunning(const World &world, JobId job)
+{
+    return std::ranges::any_of(world.workers, [job](const WorldWorker &worker) {
+        return std::ranges::any_of(worker.runs, [job](const WorldRun &run) { return run.task.step.job == job; });
+    });
+}
+
+} // namespace
+
+TEST_GROUP(DispatchFirstTurn){};
+
+// Guards against an urgent job that waits behind less urgent ones because the clock of the daemon that received it is
+// behind the leader's: the leader took it for very late.
+TEST(DispatchFirstTurn, AJobIsNotLateBecauseTheClocksOfTwoDaemonsDiffer)
+{
+    for (const milliseconds offset : {std::chrono::hours(-1), std::chrono::hours(1)}) {
+        World world(2, 2);
+        world.run(settleTime);
+        const std::size_t leader = world.leaderIndex();
+        const std::size_t follower = 1 - leader;
+        world.nodes[follower].wallOffset = offset;
+        world.submit(leader, fillerJob, filler(milliseconds(6000), true), "batch");
+        world.run(milliseconds(2000));
+        world.submit(follower, urgentJob, urgentSpec(), "urgent");
+        CHECK(world.runUntil([&] { return isRunning(world, urgentJob); }, milliseconds(1500)));
+        checkNoViolations(world);
+    }
+}
