dispatch: don't pre-empt inherited runs as if they were new

A run that a new leader took over got the time of the takeover as its start, so after each change of leader all such runs could be stopped and their work was lost. The start of a run that was taken over is now unknown, and a run whose start is unknown is not young.

--- a/core/dispatch/placement.cpp
+++ b/core/dispatch/placement.cpp
@@ -231,7 +231,7 @@
 bool canPreempt(const ReadyStep &ready, const Run &run, MonotonicTime now)
 {
     return run.phase == RunPhase::Running && run.preemptible && run.priority > ready.queue->priority
-        && ready.rank < lateRank && (run.checkpointed || now - run.startedAt < maxLostWork);
+        && ready.rank < lateRank && (run.checkpointed || (run.startedAt && now - *run.startedAt < maxLostWork));
 }
 
 /// Room that stopping all less urgent runs on the worker would free.
@@ -767,8 +767,8 @@
     std::vector<std::tuple<bool, MonotonicTime, TaskKey, Resources>> candidates;
     for (const auto &[key, run] : worker.runs) {
         if (canPreempt(ready, run, now)) {
-            candidates.emplace_back(
-                !run.checkpointed, MonotonicTime{} - (run.startedAt - MonotonicTime{}), key, run.size);
+            const MonotonicTime startedAt = run.startedAt.value_or(MonotonicTime{});
+            candidates.emplace_back(!run.checkpointed, MonotonicTime{} - (startedAt - MonotonicTime{}), key, run.size);
         }
     }
     // After the checkpointed runs, those that were started last, as the least work is lost with them.
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -308,6 +308,7 @@
     run.seenAt = now;
     run.confirmed = true;
     run.listed = true;
+    run.startedAt.reset();
     chargeRun(worker, running.task, run);
     logLine(LogLevel::Info, logPart, "Run taken over. task={} attempt={} worker={} token={}",
         formatTaskKey(running.task), running.attempt, worker.entry.id, dispatcher.token);
--- a/core/dispatch/worker_table.h
+++ b/core/dispatch/worker_table.h
@@ -50,7 +50,8 @@
     /// Whether the run may be stopped for a more urgent task; false for gangs and long-running tasks.
     bool preemptible = false;
     bool checkpointed = false;
-    MonotonicTime startedAt{};
+    /// Empty if a former leader started the run: it may have worked for any time.
+    std::optional<MonotonicTime> startedAt;
     /// The leader did not order the run, or considered it lost, and is stopping it. Its size is not known.
     bool unknown = false;
 };
--- a/tests/dispatch/first_turn_test.cpp
+++ b/tests/dispatch/first_turn_test.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr milliseconds settleTime{3000};
+constexpr milliseconds takeoverLimit{6000};
 constexpr JobId fillerJob = 0xf1;
 constexpr JobId urgentJob = 0xf2;
 constexpr std::size_t urgentTasks = 2;
@@ -39,6 +40,24 @@
 
 TEST_GROUP(DispatchFirstTurn){};
 
+// Guards against runs that a new leader takes over and pre-empts as if they had just started: all of their work is lost
+// although they have no checkpoints.
+TEST(DispatchFirstTurn, ARunThatWasTakenOverIsNotPreemptedAsANewOne)
+{
+    World world(2, 2);
+    world.run(settleTime);
+    const std::size_t former = world.leaderIndex();
+    world.submit(former, fillerJob, filler(milliseconds(12000), false), "batch");
+    CHECK(world.runUntil([&] { return world.starts == 8; }, milliseconds(2000)));
+    world.run(milliseconds(3000));
+    world.kill(former);
+    CHECK(world.runUntil([&] { return world.leader() != nullptr; }, takeoverLimit));
+    world.submit(world.leaderIndex(), urgentJob, urgentSpec(), "urgent");
+    world.run(milliseconds(3000));
+    CHECK_EQUAL(0U, world.leader()->dispatcher->counters.preempted);
+    CHECK_EQUAL(8U, world.starts);
+}
+
 // Guards against an urgent job that waits behind less urgent ones because the clock of the daemon that received it is
 // behind the leader's: the leader took it for very late.
 TEST(DispatchFirstTurn, AJobIsNotLateBecauseTheClocksOfTwoDaemonsDiffer)
