dispatch: hand over only to daemons that the store lists

A daemon reports a failing store only after its first poll has failed. A leader on a small VM that met a new daemon on a larger VM therefore resigned, although the new one could not reach the store. A candidate for a handover must now be in the store's list of daemons, which it has to reach the store to enter.

NoLeaderHandsOverToANewDaemonThatHasNotReachedTheStore failed before: the leader resigned and another small daemon led. It passes with this change.

--- a/core/dispatch/succession.cpp
+++ b/core/dispatch/succession.cpp
@@ -64,6 +64,13 @@
     return now.monotonic - leadership.followersMissingSince > maxIsolationTime;
 }
 
+/// Whether the store lists this daemon. One that has just started reports no failure before its first call has failed.
+bool isListed(const Node &node, std::string_view name)
+{
+    const auto member = std::ranges::find(node.membership.members, name, &Member::name);
+    return member != node.membership.members.end() && member->listed;
+}
+
 /// True if a daemon on a much larger VM is connected and can write to the store.
 bool shouldHandOver(const Node &node, Now now)
 {
@@ -74,7 +81,7 @@
     }
     return std::ranges::any_of(node.peers, [&node](const auto &entry) {
         const PeerState &peer = entry.second;
-        return !peer.storeFailing
+        return !peer.storeFailing && isListed(node, entry.first)
             && peer.cpuMilli * handoverCpuDenominator >= node.options.cpuMilli * handoverCpuNumerator;
     });
 }
--- a/tests/dispatch/first_turn_test.cpp
+++ b/tests/dispatch/first_turn_test.cpp
@@ -12,6 +12,7 @@
 
 constexpr milliseconds settleTime{3000};
 constexpr milliseconds takeoverLimit{6000};
+constexpr std::int64_t smallCpuMilli = 120;
 constexpr JobId fillerJob = 0xf1;
 constexpr JobId urgentJob = 0xf2;
 constexpr std::size_t urgentTasks = 2;
@@ -40,6 +41,26 @@
 
 TEST_GROUP(DispatchFirstTurn){};
 
+// Guards against a handover to a larger VM whose daemon has just started and has never reached the store: its first
+// reports said that it does, and there was no leader until another daemon claimed.
+TEST(DispatchFirstTurn, NoLeaderHandsOverToANewDaemonThatHasNotReachedTheStore)
+{
+    World world(2, 2);
+    for (WorldNode &each : world.nodes) {
+        each.node->options.cpuMilli = smallCpuMilli;
+    }
+    world.run(settleTime);
+    const std::size_t first = world.leaderIndex();
+    const std::uint64_t token = world.nodes[first].node->leadership.leader.token;
+    world.store.silentNodes.insert(world.nodes.size());
+    const std::size_t added = world.addNode();
+    world.nodes[added].node->options.seeds = {world.nodes[first].node->options.endpoint};
+    CHECK(world.runUntil([&] { return world.nodes[added].connected; }, milliseconds(2000)));
+    world.run(milliseconds(5000));
+    CHECK_EQUAL(first, world.leaderIndex());
+    CHECK_EQUAL(token, world.nodes[first].node->leadership.leader.token);
+}
+
 // Guards against runs that a new leader takes over and pre-empts as if they had just started: all of their work is lost
 // although they have no checkpoints.
 TEST(DispatchFirstTurn, ARunThatWasTakenOverIsNotPreemptedAsANewOne)
