dispatch: forget the open read of the workers with the term

The read of the worker directory outlived the term in which it was sent. If its reply arrived in the turn in which the same process had loaded the jobs of its next term, the takeover was completed with the old list. The read is now reset when a dispatcher is created.

AListOfWorkersOfAnEarlierTermDoesNotCompleteATakeover failed before: the daemon led after the old reply. It passes with this change.

--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -333,6 +333,8 @@
     // claim proves nothing about the present: it may have waited until the lease had ended.
     node.dispatcher = std::make_unique<Dispatcher>(
         node.outbox, token, node.leadership.leaseRequestedAt, inheritRetention(node, token, now));
+    // A reply to a request of an earlier term must not complete this takeover.
+    node.workerPoll = {};
     Dispatcher &dispatcher = *node.dispatcher;
     dispatcher.bounds = node.options.bounds;
     setConfiguration(dispatcher, node.configuration);
@@ -394,8 +396,6 @@
 void loadWorkers(Node &node, Now now)
 {
     setPhase(node, ClaimPhase::LoadingWorkers, now.monotonic);
-    node.workerPoll.open = false;
-    node.workerPoll.next = now.monotonic;
 }
 
 /// Handles one page of jobs or of their progress, and requests the next.
--- a/tests/dispatch/first_turn_test.cpp
+++ b/tests/dispatch/first_turn_test.cpp
@@ -1,3 +1,4 @@
+#include "core/dispatch/leadership.h"
 #include "tests/dispatch/dispatch_world.h"
 
 #include <algorithm>
@@ -96,3 +97,21 @@
         checkNoViolations(world);
     }
 }
+
+// Guards against a takeover that begins with a list of workers which was requested in an earlier term of the same
+// process.
+TEST(DispatchFirstTurn, AListOfWorkersOfAnEarlierTermDoesNotCompleteATakeover)
+{
+    World world(1, 2);
+    world.run(settleTime);
+    Node &node = *world.nodes[0].node;
+    CHECK(world.runUntil([&] { return node.workerPoll.open; }, milliseconds(1000)));
+    const CallId request = node.workerPoll.call;
+    stepDown(node, StepDownKind::Replaced, "test", world.now());
+    world.nodes[0].storeLatency = milliseconds(50);
+    CHECK(world.runUntil([&] { return node.leadership.phase == ClaimPhase::LoadingProgress; }, takeoverLimit));
+    // The last page of the records arrives in the same turn.
+    node.leadership.phase = ClaimPhase::LoadingWorkers;
+    handleWorkersReply(node, {.call = request, .status = CallStatus::Ok, .workers = {}}, world.now());
+    CHECK_FALSE(isLeading(node));
+}
