dispatch: report ready only after a leader was heard

The time of the leader's last message was 0 before the first message. Within 3 s of the VM's boot that looked recent: a new daemon reported ready without a leader, and rejected the clients that were sent to it. The time is now empty until a message arrives.

ANewDaemonIsNotReadyBeforeItKnowsALeader failed before: all daemons were ready without a leader. It passes with this change.

--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -697,7 +697,9 @@
     leadership.leader = leader;
     // The connection may be open already, if the leader is a seed or has connected to this daemon itself.
     leadership.leaderConnected = std::ranges::find(node.connectedNodes, leader.node) != node.connectedNodes.end();
-    leadership.lastLeaderMessageAt = leadership.leaderConnected ? now.monotonic : leadership.lastLeaderMessageAt;
+    if (leadership.leaderConnected) {
+        leadership.lastLeaderMessageAt = now.monotonic;
+    }
     leadership.leaderConnectionRefused = false;
     leadership.leaderStoreFailing = false;
     leadership.claimMissing = false;
--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -351,7 +351,8 @@
 
 void tickReadiness(Node &node, Now now)
 {
-    const bool led = isLeading(node) || now.monotonic - node.leadership.lastLeaderMessageAt < readyWithoutLeader;
+    const std::optional<MonotonicTime> &heardAt = node.leadership.lastLeaderMessageAt;
+    const bool led = isLeading(node) || (heardAt && now.monotonic - *heardAt < readyWithoutLeader);
     setReady(node, node.hasConfiguration && led && !node.shuttingDown);
 }
 
@@ -441,7 +442,8 @@
 
 bool isLeaderResponsive(const Leadership &leadership, Now now)
 {
-    return leadership.leaderConnected && now.monotonic - leadership.lastLeaderMessageAt < leaderResponsiveTime;
+    return leadership.leaderConnected && leadership.lastLeaderMessageAt
+        && now.monotonic - *leadership.lastLeaderMessageAt < leaderResponsiveTime;
 }
 
 Presence presenceOf(const Node &node)
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -69,8 +69,8 @@
     ClaimPhase phase = ClaimPhase::Following;
     MonotonicTime phaseSince{};
     LeaderInfo leader;
-    /// When the last message from the leader arrived.
-    MonotonicTime lastLeaderMessageAt{};
+    /// When the last message from the leader arrived; empty before the first.
+    std::optional<MonotonicTime> lastLeaderMessageAt;
     bool leaderConnected = false;
     /// The leader's port refused a connection after the previous one broke, so its process has ended.
     bool leaderConnectionRefused = false;
--- a/tests/dispatch/first_turn_test.cpp
+++ b/tests/dispatch/first_turn_test.cpp
@@ -62,6 +62,19 @@
     CHECK_EQUAL(token, world.nodes[first].node->leadership.leader.token);
 }
 
+// Guards against a daemon that reports ready before it has heard from any leader, because it started within 3 s of its
+// VM's boot: clients are sent to it and rejected.
+TEST(DispatchFirstTurn, ANewDaemonIsNotReadyBeforeItKnowsALeader)
+{
+    World world(3, 2);
+    while (world.time < settleTime) {
+        world.run(milliseconds(10));
+        for (const WorldNode &each : world.nodes) {
+            CHECK(!each.node->ready || each.node->leadership.leader.token != 0);
+        }
+    }
+}
+
 // Guards against runs that a new leader takes over and pre-empts as if they had just started: all of their work is lost
 // although they have no checkpoints.
 TEST(DispatchFirstTurn, ARunThatWasTakenOverIsNotPreemptedAsANewOne)
