tests: recent ends are kept beside old ones and while leaders change

ARecentEndIsKeptBesideOldOnes is the review's. Names and pages say that an end's time is the one since which its record is proven to be stored.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -452,9 +452,9 @@
     auto &order = dispatcher.jobs.endedOrder;
     std::size_t removed = 0;
     while (!order.empty() && order.begin()->first + dispatcher.endRetention.kept < now && removed < maxRemovedRecords) {
-        const auto [endedAt, id] = *order.begin();
+        const auto [storedSince, id] = *order.begin();
         logLine(LogLevel::Info, logPart, "Record of an ended job is removed. job={} age_ms={} token={}",
-            formatJobId(id), std::chrono::floor<milliseconds>(now - endedAt).count(), dispatcher.token);
+            formatJobId(id), std::chrono::floor<milliseconds>(now - storedSince).count(), dispatcher.token);
         ++dispatcher.counters.endsRemoved;
         ++removed;
         order.erase(order.begin());
--- a/core/dispatch/job_table.h
+++ b/core/dispatch/job_table.h
@@ -143,7 +143,7 @@
     /// Ended jobs, kept to answer queries of clients and to reject copies of their submissions. Without a state if the
     /// record of the end can't be read.
     absl::flat_hash_map<JobId, std::optional<JobState>> ended;
-    /// Ended jobs by the time of their end; the oldest are removed first.
+    /// Ended jobs by the time since which their records are proven to be stored; the oldest are removed first.
     std::set<std::pair<MonotonicTime, JobId>> endedOrder;
 };
 
--- a/tests/dispatch/ended_jobs_test.cpp
+++ b/tests/dispatch/ended_jobs_test.cpp
@@ -179,6 +179,7 @@
     for (int i = 0; i < changes; ++i) {
         world.run(milliseconds(15000));
         CHECK(replaceLeader(world));
+        CHECK(world.time >= endedAt + DispatchBounds{}.keepEnded || world.store.items.contains(endKey(job)));
     }
     CHECK(world.runUntil([&] { return !world.store.items.contains(endKey(job)); }, endedAt + limit - world.time));
 }
@@ -260,3 +261,22 @@
     constexpr std::ptrdiff_t mostObservations = 30;
     CHECK(std::ranges::count(world.store.items[std::string(retentionKey)].value, ':') <= mostObservations);
 }
+
+// Guards against a successor that takes a recent end for as old as the first one that former leaders observed.
+TEST(DispatchEndedJobs, ARecentEndIsKeptBesideOldOnes)
+{
+    World world(3, 4);
+    world.run(settleTime);
+    const milliseconds kept = DispatchBounds{}.keepEnded + keepEndedMargin;
+    const milliseconds since = world.time;
+    JobId last = job;
+    for (; world.time < since + kept + milliseconds(20000); ++last) {
+        world.submit(world.leaderIndex(), last, jobSpec(), "batch");
+        world.run(milliseconds(10000));
+    }
+    world.submit(world.leaderIndex(), last, jobSpec(), "batch");
+    CHECK(world.runUntil([&] { return world.store.items.contains(endKey(last)); }, milliseconds(3000)));
+    CHECK(replaceLeader(world));
+    world.run(milliseconds(1000));
+    CHECK(world.store.items.contains(endKey(last)));
+}
