--- a/tests/dispatch/random_plans.cpp
+++ b/tests/dispatch/random_plans.cpp
@@ -84,9 +84,10 @@
         second.after = {0};
         job.spec = {.payload = "p", .steps = {single, second}};
     }
-    const std::uint64_t copyDraw = randomBelow(random, 6);
-    const std::size_t copies = copyDraw < 3 ? 0 : copyDraw - 2;
-    for (std::size_t i = 0; i < std::min<std::size_t>(copies, 2); ++i) {
+    // Half of the jobs get no copy, a third get two.
+    constexpr std::array<std::size_t, 6> copyCounts{0, 0, 0, 1, 2, 2};
+    const std::size_t copies = copyCounts.at(randomBelow(random, copyCounts.size()));
+    for (std::size_t i = 0; i < copies; ++i) {
         job.copies.push_back(millisBetween(random, 500, randomBelow(random, 3) == 0 ? 30000 : 6000));
     }
     if (randomBelow(random, 4) == 0) {
