--- a/tests/dispatch/ended_jobs_test.cpp
+++ b/tests/dispatch/ended_jobs_test.cpp
@@ -13,7 +13,6 @@
 
 constexpr milliseconds settleTime{3000};
 constexpr milliseconds takeoverLimit{6000};
-constexpr milliseconds answerLimit{1000};
 constexpr JobId job = 0xe7;
 
 /// Kills the leader and waits for the next one. Returns false if none leads in time.
@@ -90,6 +89,17 @@
     std::size_t leader = 0;
 };
 
+/// Runs a job to its end, damages the record of the end and replaces the leader.
+void inheritUnreadableEnd(World &world)
+{
+    world.run(settleTime);
+    world.submit(world.leaderIndex(), job, jobSpec(), "batch");
+    CHECK(world.runUntil([&] { return world.store.items.contains(endKey(job)); }, milliseconds(3000)));
+    world.store.items[endKey(job)].value = "done";
+    CHECK(replaceLeader(world));
+    world.run(milliseconds(500));
+}
+
 } // namespace
 
 TEST_GROUP(DispatchEndedJobs){};
@@ -216,12 +226,7 @@
 TEST(DispatchEndedJobs, AnEndThatCannotBeReadStillKeepsItsIdFromBeingAccepted)
 {
     World world(3, 4);
-    world.run(settleTime);
-    world.submit(world.leaderIndex(), job, jobSpec(), "batch");
-    CHECK(world.runUntil([&] { return world.store.items.contains(endKey(job)); }, milliseconds(3000)));
-    world.store.items[endKey(job)].value = "done";
-    CHECK(replaceLeader(world));
-    world.run(milliseconds(500));
+    inheritUnreadableEnd(world);
     const std::size_t starts = world.starts;
     world.submit(world.leaderIndex(), job, jobSpec(), "batch");
     world.run(milliseconds(2000));
@@ -232,12 +237,7 @@
 TEST(DispatchEndedJobs, AQueryOfAnEndThatCannotBeReadDoesNotDeposeTheLeader)
 {
     World world(3, 4);
-    world.run(settleTime);
-    world.submit(world.leaderIndex(), job, jobSpec(), "batch");
-    CHECK(world.runUntil([&] { return world.store.items.contains(endKey(job)); }, milliseconds(3000)));
-    world.store.items[endKey(job)].value = "done";
-    CHECK(replaceLeader(world));
-    world.run(milliseconds(500));
+    inheritUnreadableEnd(world);
     const std::size_t leader = world.leaderIndex();
     world.call(leader, ClientCallKind::Query, job, "batch");
     world.run(milliseconds(100));
