--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -218,12 +218,12 @@
 void query(Dispatcher &dispatcher, const ClientCall &call, MonotonicTime now)
 {
     const auto ended = dispatcher.jobs.ended.find(call.job);
-    if (ended != dispatcher.jobs.ended.end() && !ended->second) {
-        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Unknown});
-        return;
-    }
     if (ended != dispatcher.jobs.ended.end()) {
-        reportEnd(dispatcher, call.call, call.job, *ended->second);
+        if (ended->second) {
+            reportEnd(dispatcher, call.call, call.job, *ended->second);
+        } else {
+            answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Unknown});
+        }
         return;
     }
     Job *job = findJob(dispatcher.jobs, call.job);
