--- a/tests/dispatch/ended_jobs_test.cpp
+++ b/tests/dispatch/ended_jobs_test.cpp
@@ -61,6 +61,13 @@
     return spec;
 }
 
+/// Submits a job to a daemon and runs until its end is stored.
+void runToStoredEnd(World &world, std::size_t at, JobId id)
+{
+    world.submit(at, id, jobSpec(), "batch");
+    CHECK(world.runUntil([&] { return world.store.items.contains(endKey(id)); }, milliseconds(3000)));
+}
+
 /// A job that ended, up to the moment at which the leader begins to remove its record. The write that removes it gets
 /// no reply and is repeated after its timeout.
 struct RemovalWithoutReply
@@ -69,8 +76,7 @@
     {
         world.run(settleTime);
         leader = world.leaderIndex();
-        world.submit(leader, job, jobSpec(), "batch");
-        CHECK(world.runUntil([this] { return world.store.items.contains(endKey(job)); }, milliseconds(3000)));
+        runToStoredEnd(world, leader, job);
         const milliseconds kept = DispatchBounds{}.keepEnded + keepEndedMargin;
         world.run(kept - milliseconds(500));
         CHECK_FALSE(isRemovalBegun());
@@ -93,8 +99,7 @@
 void inheritUnreadableEnd(World &world)
 {
     world.run(settleTime);
-    world.submit(world.leaderIndex(), job, jobSpec(), "batch");
-    CHECK(world.runUntil([&] { return world.store.items.contains(endKey(job)); }, milliseconds(3000)));
+    runToStoredEnd(world, world.leaderIndex(), job);
     world.store.items[endKey(job)].value = "done";
     CHECK(replaceLeader(world));
     world.run(milliseconds(500));
@@ -142,14 +147,12 @@
         for (std::size_t node = 0; node < world.nodes.size(); ++node) {
             world.nodes[node].wallOffset = node == former ? offset : -offset;
         }
-        const JobSpec spec{.payload = "p", .steps = {stepOf(2, 500, milliseconds(200))}};
-        world.submit(former, job, spec, "batch");
-        CHECK(world.runUntil([&] { return world.store.items.contains(endKey(job)); }, milliseconds(3000)));
+        runToStoredEnd(world, former, job);
         CHECK(replaceLeader(world));
         world.run(milliseconds(1000));
         CHECK(world.store.items.contains(endKey(job)));
         const std::size_t starts = world.starts;
-        world.submit(former, job, spec, "batch");
+        world.submit(former, job, jobSpec(), "batch");
         world.run(milliseconds(3000));
         CHECK_EQUAL(starts, world.starts);
         checkNoViolations(world);
@@ -162,8 +165,7 @@
 {
     World world(3, 4);
     world.run(settleTime);
-    world.submit(0, job, {.payload = "p", .steps = {stepOf(1, 500, milliseconds(200))}}, "batch");
-    CHECK(world.runUntil([&] { return world.store.items.contains(endKey(job)); }, milliseconds(3000)));
+    runToStoredEnd(world, 0, job);
     const milliseconds endedAt = world.time;
     CHECK(replaceLeader(world));
     world.run(milliseconds(20000));
@@ -180,8 +182,7 @@
 {
     World world(3, 4);
     world.run(settleTime);
-    world.submit(0, job, {.payload = "p", .steps = {stepOf(1, 500, milliseconds(200))}}, "batch");
-    CHECK(world.runUntil([&] { return world.store.items.contains(endKey(job)); }, milliseconds(3000)));
+    runToStoredEnd(world, 0, job);
     const milliseconds endedAt = world.time;
     constexpr int changes = 12;
     constexpr milliseconds lostByChange{10000};
@@ -215,8 +216,7 @@
     CHECK(world.runUntil([&] { return !world.store.items.contains(endKey(job)); }, milliseconds(8000)));
     world.run(milliseconds(1000));
     CHECK_EQUAL(starts, world.starts);
-    world.submit(setup.leader, job, jobSpec(), "batch");
-    CHECK(world.runUntil([&] { return world.store.items.contains(endKey(job)); }, milliseconds(3000)));
+    runToStoredEnd(world, setup.leader, job);
     CHECK_EQUAL(starts + 2, world.starts);
     world.run(milliseconds(8000));
     CHECK(world.store.items.contains(endKey(job)));
@@ -250,8 +250,7 @@
 {
     World world(3, 4);
     world.run(settleTime);
-    world.submit(world.leaderIndex(), job, jobSpec(), "batch");
-    CHECK(world.runUntil([&] { return world.store.items.contains(endKey(job)); }, milliseconds(3000)));
+    runToStoredEnd(world, world.leaderIndex(), job);
     constexpr int changes = 60;
     for (int i = 0; i < changes; ++i) {
         world.run(milliseconds(4000));
@@ -274,8 +273,7 @@
         world.submit(world.leaderIndex(), last, jobSpec(), "batch");
         world.run(milliseconds(10000));
     }
-    world.submit(world.leaderIndex(), last, jobSpec(), "batch");
-    CHECK(world.runUntil([&] { return world.store.items.contains(endKey(last)); }, milliseconds(3000)));
+    runToStoredEnd(world, world.leaderIndex(), last);
     CHECK(replaceLeader(world));
     world.run(milliseconds(1000));
     CHECK(world.store.items.contains(endKey(last)));
