--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -288,11 +288,12 @@
                         for number in range(workers)]
         self.tasks = []
 
-    async def start(self, routes=None):
+    async def start(self):
         for worker in self.workers:
             await worker.start()
-        routes = routes or [{"name": "batch", "host": HOST, "prefix": "/batch/", "service": POOL, "priority": 2,
-                             "maxAttempts": 4, "stretch": 4.0, "targetDurationMs": 3000}]
+        routes = [{"name": name, "host": HOST, "prefix": f"/{name}/", "service": POOL, "priority": priority,
+                   "maxAttempts": 4, "stretch": 4.0, "targetDurationMs": 3000}
+                  for name, priority in (("urgent", 0), ("batch", 2))]
         text = json.dumps({"version": 3, "routes": routes, "services": [{"name": POOL}], "limits": {}})
         self.store.put("op/config", base64.b64encode(text.encode()).decode())
         for daemon in self.daemons:
