--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,64 +1,74 @@
-"""A timed job that is handed in late: many of its times are due at once."""
+"""A job that is handed in at a machine that stands still, and cancelled at another one."""
 
 import asyncio
+import json
 import pathlib
+import signal
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
-from harness_2 import System, main, now  # noqa: E402
+from harness_2 import HOST, System, Worker, main, now  # noqa: E402
 
-TIMES = 30000
-INTERVAL_MS = 60000
-TRAFFIC_S = 45.0
-FINISH_S = 14.0
+FREEZE_S = 4.0
+LEAVES_AFTER_S = 0.4
+CANCEL_S = 3.0
+WATCH_S = 8.0
+JOB = "f" * 15 + "1"
+
+
+class WatchingWorker(Worker):
+    started = []
+
+    def record_start(self, task, attempt):
+        super().record_start(task, attempt)
+        WatchingWorker.started.append((task, now()))
+
+
+async def hand_in(system, daemon):
+    """Sends the job, waits for an answer for a moment and leaves."""
+    body = json.dumps({"spec": "1 notice", "steps": [{"count": 2, "cpu": 500, "memMb": 100, "estimateMs": 1000}]}).encode()
+    reader, writer = await asyncio.open_connection(daemon.ip, daemon.ports["frontend"])
+    writer.write(b"POST /urgent/%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"
+                 b"X-Wigeonkeel-Deadline-Ms: 3000\r\nContent-Length: %d\r\n\r\n" % (JOB.encode(), HOST.encode(), len(body))
+                 + body)
+    system.record.note(f"POST {JOB} to {daemon.name}")
+    try:
+        line = await asyncio.wait_for(reader.readline(), LEAVES_AFTER_S)
+        system.record.note(f"answer {line.decode('latin-1').strip()}")
+    except asyncio.TimeoutError:
+        system.record.note("no answer; the consumer leaves")
+    writer.close()
 
 
 async def case(trouble):
-    system = System(pathlib.Path(__file__).resolve().parent, workers=4)
+    system = System(pathlib.Path(__file__).resolve().parent, workers=4, worker=WatchingWorker)
     record = system.record
-    accepted = {}
     try:
         await system.start()
-        await asyncio.sleep(4)
+        await asyncio.sleep(5)
+        entry = next(daemon for daemon in system.daemons if daemon is not system.leader())
+        other = next(daemon for daemon in system.daemons if daemon is not entry)
+        frozen_at = now()
         if trouble:
-            content = {"spec": "0.2 timed", "repeatCount": TIMES, "intervalMs": INTERVAL_MS,
-                       "firstMs": int(time.time() * 1000) - TIMES * INTERVAL_MS,
-                       "steps": [{"count": 1, "cpu": 1000, "memMb": 100, "estimateMs": 200}]}
-            if not await system.submit("c" * 16, content):
-                raise RuntimeError("the timed job was not accepted")
-            record.note(f"a job of {TIMES} times, one each minute, is accepted; all of them are due")
-
-        async def small(job):
-            content = {"spec": "0.5 small", "steps": [{"count": 1, "cpu": 1000, "memMb": 100, "estimateMs": 500}]}
-            if await system.submit(job, content, queue="urgent", tries=4):
-                accepted[job] = now()
-
-        begun, number, pending = now(), 0, []
-        while now() < begun + TRAFFIC_S:
-            number += 1
-            pending.append(asyncio.create_task(small(f"{0xd000000000000000 + number:016x}")))
-            if number % 10 == 0:
-                record.note(f"tasks running {sum(len(worker.runs) for worker in system.workers)}; claims "
-                            f"{system.store.claims}; values refused {system.store.too_large}; ends that nobody has taken "
-                            f"note of {[len(worker.ends) for worker in system.workers]}")
-            await asyncio.sleep(0.7)
-        await asyncio.gather(*pending)
-        await asyncio.sleep(FINISH_S)
-        open_jobs = 0
-        for job in accepted:
-            status, body = await system.call(system.daemons[int(job, 16) % 3], "GET", f"/urgent/{job}", deadline=1.0)
-            if body.get("state") != "done":
-                open_jobs += 1
-                record.note(f"GET {job}: {status} {body.get('state')}, accepted {now() - accepted[job]:.0f} s ago")
-            if open_jobs == 8:
-                break
-        running = sum(len(worker.runs) for worker in system.workers)
-        record.note(f"{FINISH_S:.0f} s after the traffic: {len(accepted)} of {number} small jobs accepted, {open_jobs} or "
-                    f"more of them not done; {running} tasks run on 4 workers of 16 cores")
-        print("broken" if open_jobs else "held", f"{len(accepted)} of {number} accepted, {open_jobs} or more not done")
-        return 1 if open_jobs else 0
+            record.note(f"SIGSTOP {entry.name}")
+            entry.process.send_signal(signal.SIGSTOP)
+        await hand_in(system, entry)
+        status, _ = await system.call(other, "DELETE", f"/urgent/{JOB}")
+        acknowledged_at = now()
+        record.note(f"DELETE {JOB} at {other.name}: {status}")
+        if status not in (200, 410):
+            raise RuntimeError("the cancelling was not acknowledged")
+        if trouble:
+            await asyncio.sleep(max(0.0, frozen_at + FREEZE_S - now()))
+            record.note(f"SIGCONT {entry.name}")
+            entry.process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(WATCH_S)
+        late = [(task, at - acknowledged_at) for task, at in WatchingWorker.started if at > acknowledged_at + CANCEL_S]
+        for task, after in late:
+            record.note(f"{task} was started {after:.1f} s after the cancelling was acknowledged")
+        print("broken" if late else "held", f"{len(late)} starts later than {CANCEL_S:.0f} s after the acknowledged cancel")
+        return 1 if late else 0
     finally:
         await system.stop()
 
