--- a/core/dispatch/commit_streams.cpp
+++ b/core/dispatch/commit_streams.cpp
@@ -34,6 +34,7 @@
     case CommitKind::Accept:
         return 0;
     case CommitKind::End:
+    case CommitKind::Withdraw:
         return 1;
     case CommitKind::Progress:
     case CommitKind::Workers:
--- a/core/dispatch/commit_streams.h
+++ b/core/dispatch/commit_streams.h
@@ -12,7 +12,7 @@
 {
 
 /// Identifies a commit; returned to the caller once the commit is stored.
-enum class CommitKind : std::uint8_t { Accept, Progress, End, Workers, Forget, Retention };
+enum class CommitKind : std::uint8_t { Accept, Progress, End, Withdraw, Workers, Forget, Retention };
 
 struct CommitTag
 {
--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -132,6 +132,10 @@
 void submit(Dispatcher &dispatcher, const ClientCall &call, Now now)
 {
     if (const auto ended = dispatcher.jobs.ended.find(call.job); ended != dispatcher.jobs.ended.end()) {
+        if (ended->second == JobState::Withdrawn) {
+            rejectJob(dispatcher, call, dispatcher.endRetention.kept, "cancelled before it was submitted");
+            return;
+        }
         logRepeatedSubmission(call.job, ended->second ? stateName(*ended->second) : "unreadable");
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok});
         return;
@@ -219,7 +223,9 @@
 {
     const auto ended = dispatcher.jobs.ended.find(call.job);
     if (ended != dispatcher.jobs.ended.end()) {
-        if (ended->second) {
+        if (ended->second == JobState::Withdrawn) {
+            answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::NoSuchJob});
+        } else if (ended->second) {
             reportEnd(dispatcher, call.call, call.job, *ended->second);
         } else {
             answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Unknown});
@@ -239,15 +245,42 @@
     answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok, .state = reportedState(*job)});
 }
 
+/// Withdraws the id of a job that this leader doesn't know. A copy of its submission may still arrive, for instance
+/// through a daemon whose process stands still, and must not start the job once the cancellation is confirmed. That the
+/// record is stored also proves that no other daemon has led and accepted the job: the streams' conditions hold.
+void withdraw(Dispatcher &dispatcher, const ClientCall &call, Now now)
+{
+    if (isStoreUnavailable(dispatcher, now.monotonic) || dispatcher.commits.waiting.size() > maxWaitingCommits) {
+        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Unknown});
+        return;
+    }
+    logLine(LogLevel::Info, logPart, "Cancellation of an unknown job. job={} queue={} token={}", formatJobId(call.job),
+        call.queue, dispatcher.token);
+    ++dispatcher.counters.jobsWithdrawn;
+    dispatcher.jobs.ended.emplace(call.job, JobState::Withdrawn);
+    dispatcher.withdrawals[call.job].push_back(call.call);
+    enqueue(dispatcher.commits,
+        {.tag = {.kind = CommitKind::Withdraw, .job = call.job},
+            .writes
+            = {{.key = endKey(call.job), .value = encodeEnd({.state = JobState::Withdrawn, .endedAt = now.wall})}},
+            .deletes = {},
+            .queuedAt = now.monotonic});
+}
+
 void cancel(Dispatcher &dispatcher, const ClientCall &call, Now now)
 {
-    if (dispatcher.jobs.ended.contains(call.job)) {
-        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok});
+    if (const auto waiting = dispatcher.withdrawals.find(call.job); waiting != dispatcher.withdrawals.end()) {
+        waiting->second.push_back(call.call);
+        return;
+    }
+    if (const auto ended = dispatcher.jobs.ended.find(call.job); ended != dispatcher.jobs.ended.end()) {
+        const bool existed = ended->second != JobState::Withdrawn;
+        answer(dispatcher, {.call = call.call, .outcome = existed ? ClientOutcome::Ok : ClientOutcome::NoSuchJob});
         return;
     }
     Job *job = findJob(dispatcher.jobs, call.job);
     if (job == nullptr) {
-        answerUnknownJob(dispatcher, call, now.monotonic);
+        withdraw(dispatcher, call, now);
         return;
     }
     logLine(LogLevel::Info, logPart, "Cancellation requested. job={} queue={} accepted={}", formatJobId(call.job),
@@ -322,6 +355,15 @@
     dispatcher.jobs.live.erase(id);
 }
 
+void handleWithdrawn(Dispatcher &dispatcher, JobId id, MonotonicTime now)
+{
+    dispatcher.jobs.endedOrder.emplace(now, id);
+    const auto waiting = dispatcher.withdrawals.extract(id);
+    for (const CallId call : waiting.mapped()) {
+        answer(dispatcher, {.call = call, .outcome = ClientOutcome::NoSuchJob});
+    }
+}
+
 void handleWorkersStored(Dispatcher &dispatcher)
 {
     dispatcher.workersCommitOpen = false;
@@ -346,6 +388,10 @@
         handleWorkersStored(dispatcher);
         return;
     }
+    if (tag.kind == CommitKind::Withdraw) {
+        handleWithdrawn(dispatcher, tag.job, now.monotonic);
+        return;
+    }
     Job *job = findJob(dispatcher.jobs, tag.job);
     if (job == nullptr) {
         return;
@@ -378,8 +424,9 @@
                 {.call = call, .kind = ClientCallKind::Submit, .queue = job->record.queue.name, .job = id},
                 outageRetryAfter, "store unavailable");
         }
+        // Without a record of the cancellation, another copy of the submission could still be accepted.
         for (const CallId call : job->waitingCancels) {
-            answer(dispatcher, {.call = call, .outcome = ClientOutcome::NoSuchJob});
+            answer(dispatcher, {.call = call, .outcome = ClientOutcome::Unknown});
         }
         dispatcher.jobs.live.erase(id);
     }
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -96,6 +96,8 @@
     std::uint64_t commits = 0;
     /// Records of ended jobs that were removed; from then on their ids count as unused.
     std::uint64_t endsRemoved = 0;
+    /// Unknown jobs that were cancelled; their ids count as used from then on.
+    std::uint64_t jobsWithdrawn = 0;
 };
 
 /// Place of a step in the order in which steps are placed.
@@ -130,6 +132,8 @@
     absl::flat_hash_map<CallId, WorkerSlot> renewals;
     /// Keyed by the id of the call to the store.
     absl::flat_hash_map<CallId, UnknownJobCall> unknownJobs;
+    /// Cancellations of unknown jobs, until the records that withdraw their ids are stored.
+    absl::flat_hash_map<JobId, std::vector<CallId>> withdrawals;
     Outbox *outbox;
     /// A new leader finds the runs of inherited jobs, and their ends, in the lists of the workers. Until every worker
     /// has listed them all, inherited jobs are not started. After the deadline this waits only for the workers that
--- a/core/dispatch/messages.h
+++ b/core/dispatch/messages.h
@@ -332,7 +332,16 @@
     NotLeader,
 };
 
-enum class JobState : std::uint8_t { Queued, Running, Done, Failed, Cancelled };
+enum class JobState : std::uint8_t {
+    Queued,
+    Running,
+    Done,
+    Failed,
+    Cancelled,
+    /// Cancelled before any submission of it arrived. Clients are told that there is no such job, and a submission that
+    /// arrives later is refused. Only the records of ended jobs have this state.
+    Withdrawn,
+};
 
 struct ClientAnswer
 {
--- a/core/dispatch/records.cpp
+++ b/core/dispatch/records.cpp
@@ -194,8 +194,8 @@
         .incarnation = readInteger(row.at(3), "incarnation", clockRange)};
 }
 
-constexpr std::array<std::pair<JobState, std::string_view>, 3> endTexts
-    = {{{JobState::Done, "done"}, {JobState::Failed, "failed"}, {JobState::Cancelled, "cancelled"}}};
+constexpr std::array<std::pair<JobState, std::string_view>, 4> endTexts = {{{JobState::Done, "done"},
+    {JobState::Failed, "failed"}, {JobState::Cancelled, "cancelled"}, {JobState::Withdrawn, "withdrawn"}}};
 
 } // namespace
 
--- a/core/dispatch/records.h
+++ b/core/dispatch/records.h
@@ -43,7 +43,7 @@
     WallTime endedAt{};
 };
 
-/// "done", "failed" or "cancelled".
+/// "done", "failed", "cancelled" or "withdrawn".
 std::string_view stateName(JobState state);
 std::string encodeEnd(const EndRecord &record);
 /// Empty if the text is not an encoded EndRecord.
--- a/modules/cluster_metrics/cluster_metrics.cpp
+++ b/modules/cluster_metrics/cluster_metrics.cpp
@@ -22,7 +22,7 @@
     std::uint64_t DispatchCounters::*member;
 };
 
-constexpr std::array<CounterRow, 19> counterRows = {{{"accepted_jobs", &DispatchCounters::accepted},
+constexpr std::array<CounterRow, 20> counterRows = {{{"accepted_jobs", &DispatchCounters::accepted},
     {"refused_jobs", &DispatchCounters::rejected}, {"done_jobs", &DispatchCounters::jobsDone},
     {"failed_jobs", &DispatchCounters::jobsFailed}, {"cancelled_jobs", &DispatchCounters::jobsCancelled},
     {"starts_ordered", &DispatchCounters::startsOrdered}, {"starts_unanswered", &DispatchCounters::startsUnanswered},
@@ -31,7 +31,8 @@
     {"runs_missing", &DispatchCounters::runsMissing}, {"runs_preempted", &DispatchCounters::preempted},
     {"gangs_undone", &DispatchCounters::gangsAborted}, {"runs_stalled", &DispatchCounters::stalled},
     {"looks", &DispatchCounters::renewals}, {"advice_asked", &DispatchCounters::adviceRequests},
-    {"commits", &DispatchCounters::commits}, {"ended_records_removed", &DispatchCounters::endsRemoved}}};
+    {"commits", &DispatchCounters::commits}, {"ended_records_removed", &DispatchCounters::endsRemoved},
+    {"withdrawn_jobs", &DispatchCounters::jobsWithdrawn}}};
 
 constexpr std::array<const char *, durationKindCount> durationNames
     = {"acceptance", "first_start", "completion", "advice"};
--- a/tests/dispatch/dispatch_world_calls.cpp
+++ b/tests/dispatch/dispatch_world_calls.cpp
@@ -352,7 +352,7 @@
     const bool ok = answer.outcome == ClientOutcome::Ok;
     if (sent.kind == ClientCallKind::Submit && ok) {
         recordAccepted(history, sent.job, time);
-    } else if (sent.kind == ClientCallKind::Cancel && ok) {
+    } else if (sent.kind == ClientCallKind::Cancel && (ok || answer.outcome == ClientOutcome::NoSuchJob)) {
         recordCancelled(history, sent.job, time);
     } else if (sent.kind == ClientCallKind::Query && ok) {
         report(recordShownState(history, sent.job, answer.state, times, where));
