--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -587,6 +587,8 @@
             continue;
         }
         changed = changed || !worker.listed || entry.incarnation != known;
+        // A new incarnation may have another address, to which its orders have to go.
+        worker.entry.endpoint = entry.endpoint;
         setIncarnation(dispatcher, slot, entry.incarnation, now);
         if (entry.draining && !worker.entry.draining) {
             logLine(LogLevel::Info, logPart, "Worker is draining. worker={} leaves_in_ms={} runs={}", entry.id,
