dispatch: a successor waits for the longest lease of a worker that started again

TWICE, two runs of one task at once: a worker starts again under its id, runs what the leader orders, the leader is lost and the worker is cut off. Its successor starts the task elsewhere while the first run lives on, 5.7 s in the users' record, where leaders request 3.5 s.

Cause: calls that were meant for a worker's former life reach the next one. Their times are on the former clock, far ahead of the new one, and the worker shortens such a lease only to the longest that it grants (6 s, 10 s on the co-op). The leader that sent them allows for that; a successor counted on the lease that it would have requested itself.

Now each worker has the life of which it is certain that no lease outlasts those that leaders request (boundedIncarnation), and the record of the workers names the incarnation only then. A successor waits for the longest lease of a worker that it can't contact if the record names no incarnation or the directory another one. Beside other workers takeovers are as fast as before, and a worker that was contacted and is lost then is given up 2.5 s sooner. `Start ordered` logs the longest lease that the leader knows of, and the end of the discovery how long it took.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -25,6 +25,9 @@
 /// Time after which a client may retry while the store is unavailable.
 constexpr milliseconds outageRetryAfter{1000};
 constexpr milliseconds overloadRetryAfter{2000};
+/// Added to the time until the leases of an unreachable worker have ended: a former leader's last order may still have
+/// been in transit.
+constexpr milliseconds inheritanceMargin{1000};
 /// Most queries that wait for the end of their job; further ones are answered at once. A waiting query takes about 300
 /// bytes here and in the daemon that received it.
 constexpr std::size_t maxWaitingQueries = 8192;
@@ -368,8 +371,9 @@
 {
     dispatcher.workersCommitOpen = false;
     dispatcher.placementDue = true;
-    for (const WorkerSlot slot : std::exchange(dispatcher.workersBeingRecorded, {})) {
-        dispatcher.workers.workers[slot].recorded = true;
+    for (const auto &[slot, incarnation] : std::exchange(dispatcher.workersBeingRecorded, {})) {
+        Worker &worker = dispatcher.workers.workers[slot];
+        worker.recorded = worker.recorded || worker.entry.incarnation == incarnation;
     }
 }
 
@@ -442,7 +446,7 @@
     for (WorkerSlot slot = 0; slot < dispatcher.workers.workers.size(); ++slot) {
         Worker &worker = dispatcher.workers.workers[slot];
         if (isRecorded(worker)) {
-            dispatcher.workersBeingRecorded.push_back(slot);
+            dispatcher.workersBeingRecorded.push_back({.worker = slot, .incarnation = worker.entry.incarnation});
         } else {
             worker.recorded = false;
         }
@@ -676,16 +680,28 @@
     dispatcher.jobs.endedOrder.emplace(provenSince(dispatcher.endRetention, revision, now), id);
 }
 
+MonotonicTime formerLeasesEndBy(const Dispatcher &dispatcher, const Worker &worker)
+{
+    // A worker that the former leader did not record was never given a run.
+    const bool mayBeLong = worker.inherited && !areLeasesBounded(worker);
+    const milliseconds lease = mayBeLong ? dispatcher.bounds.maxWorkerLease : requestedLease(dispatcher.bounds);
+    return dispatcher.claimedAt + longestByWorkerClock(lease) + inheritanceMargin;
+}
+
 void finishRunDiscovery(Dispatcher &dispatcher, MonotonicTime now)
 {
     if (dispatcher.runDiscoveryFinished) {
         return;
     }
     const std::span<const Worker> workers = dispatcher.workers.workers;
+    // A worker that answers keeps its ends, so there is no time limit for reading them.
+    const auto isResolved = [&dispatcher, now](const Worker &worker) {
+        return areFormerRunsKnown(worker) || (!worker.contacted && now >= formerLeasesEndBy(dispatcher, worker));
+    };
     const bool known = !workers.empty() && std::ranges::all_of(workers, areFormerRunsKnown);
-    // At the deadline the leases of the workers that were not contacted have expired. A worker that answers keeps its
-    // ends, so there is no deadline for reading them.
-    if (known || (now >= dispatcher.runDiscoveryDeadline && std::ranges::none_of(workers, hasUnreadEnds))) {
+    const bool resolved
+        = workers.empty() ? now >= formerLeasesEndBy(dispatcher, {}) : std::ranges::all_of(workers, isResolved);
+    if (resolved) {
         dispatcher.runDiscoveryFinished = true;
         dispatcher.placementDue = true;
         for (Worker &worker : dispatcher.workers.workers) {
@@ -697,8 +713,9 @@
             }
         }
         logLine(LogLevel::Info, logPart,
-            "Discovery of inherited runs finished; inherited jobs can start. jobs={} every_worker_answered={}",
-            dispatcher.jobs.live.size(), known);
+            "Discovery of inherited runs finished; inherited jobs can start. jobs={} every_worker_answered={} "
+            "claimed_ms_ago={}",
+            dispatcher.jobs.live.size(), known, std::chrono::floor<milliseconds>(now - dispatcher.claimedAt).count());
     }
 }
 
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -12,6 +12,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -45,6 +46,12 @@
     milliseconds keepEnded{120000};
 };
 
+/// The lease that leaders request, counted from the request.
+inline milliseconds requestedLease(const DispatchBounds &bounds)
+{
+    return std::min(bounds.workerLease, bounds.maxWorkerLease);
+}
+
 struct OpenOrder
 {
     bool isStart = true;
@@ -57,6 +64,13 @@
     MonotonicTime sentAt{};
 };
 
+/// A worker in the record of the workers that is being stored.
+struct RecordedWorker
+{
+    WorkerSlot worker = noWorker;
+    std::int64_t incarnation = 0;
+};
+
 /// A client's call about a job that the leader doesn't know, while the job's records are read from the store.
 struct UnknownJobCall
 {
@@ -135,10 +149,10 @@
     /// Cancellations of unknown jobs, until the records that withdraw their ids are stored.
     absl::flat_hash_map<JobId, std::vector<CallId>> withdrawals;
     Outbox *outbox;
+    /// When the store's reply to the claim arrived. Former leaders made their calls before, but for those in transit.
+    MonotonicTime claimedAt{};
     /// A new leader finds the runs of inherited jobs, and their ends, in the lists of the workers. Until every worker
-    /// has listed them all, inherited jobs are not started. After the deadline this waits only for the workers that
-    /// answer.
-    MonotonicTime runDiscoveryDeadline{};
+    /// has listed them all, or its leases have ended without a contact, inherited jobs are not started.
     bool runDiscoveryFinished = true;
     /// Send time of the last request or keep-alive of the claim's lease that the store confirmed. One lease later,
     /// another daemon may lead and have jobs that this one doesn't know.
@@ -157,7 +171,7 @@
     bool workersChanged = false;
     bool workersCommitOpen = false;
     /// Workers in the record that is being stored.
-    std::vector<WorkerSlot> workersBeingRecorded;
+    std::vector<RecordedWorker> workersBeingRecorded;
     /// Something changed that may let a task start.
     bool placementDue = false;
     MonotonicTime nextPlacement{};
@@ -209,8 +223,11 @@
 void inheritEnd(
     Dispatcher &dispatcher, JobId id, std::optional<JobState> state, std::uint64_t revision, MonotonicTime now);
 
-/// Finishes the discovery of inherited runs once every worker has listed all of its runs and ends, or the deadline has
-/// passed and those that were contacted have. Inherited jobs can start then.
+/// Time by which the leases that former leaders requested of a worker have ended if this leader has not contacted it.
+MonotonicTime formerLeasesEndBy(const Dispatcher &dispatcher, const Worker &worker);
+
+/// Finishes the discovery of inherited runs once every worker has listed all of its runs and ends, or its leases have
+/// ended without a contact. Inherited jobs can start then.
 void finishRunDiscovery(Dispatcher &dispatcher, MonotonicTime now);
 
 } // namespace wigeonkeel::dispatch
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -39,9 +39,6 @@
 /// An attempt to claim that takes longer is abandoned and starts again.
 constexpr milliseconds claimAttemptTimeout{3000};
 constexpr milliseconds claimRetry{200};
-/// Added to the longest time until the lease of an unreachable worker expires, which is the lease that leaders request
-/// by a clock that may be 2% slow. A former leader's last order may still have been in transit.
-constexpr milliseconds inheritanceMargin{1000};
 constexpr milliseconds pauseAfterResigning{4000};
 /// Shortest time between two attempts to connect to the same leader. A refused attempt fails within a round trip, so
 /// that attempts without a pause would take most of a small VM's processor.
@@ -338,9 +335,8 @@
     Dispatcher &dispatcher = *node.dispatcher;
     dispatcher.bounds = node.options.bounds;
     setConfiguration(dispatcher, node.configuration);
-    const auto lease = std::chrono::duration<double, std::milli>(node.options.bounds.workerLease) * maxWorkerClockRatio;
     // Counted from the reply, which is certain to follow the execution of the claim.
-    dispatcher.runDiscoveryDeadline = now + std::chrono::ceil<milliseconds>(lease) + inheritanceMargin;
+    dispatcher.claimedAt = now;
 }
 
 /// Restores the workers that the former leader recorded. The record is its last one, because the claim was written on
--- a/core/dispatch/records.cpp
+++ b/core/dispatch/records.cpp
@@ -299,7 +299,8 @@
     for (const Worker &worker : table.workers) {
         if (isRecorded(worker)) {
             const WorkerEntry &entry = worker.entry;
-            rows.push_back(Json::array({entry.id, entry.endpoint.ip, entry.endpoint.port, entry.incarnation}));
+            const std::int64_t incarnation = areLeasesBounded(worker) ? entry.incarnation : 0;
+            rows.push_back(Json::array({entry.id, entry.endpoint.ip, entry.endpoint.port, incarnation}));
         }
     }
     return dumpJson(rows);
--- a/core/dispatch/records.h
+++ b/core/dispatch/records.h
@@ -31,6 +31,7 @@
 /// Key of the record of workers that may hold runs. The directory may lose workers while the store is unreachable, but
 /// a new leader has to contact every worker that may hold runs.
 inline constexpr std::string_view workersKey = "wk/ctl/workers";
+/// Names the incarnation of a worker only if its leases are bounded (Worker::boundedIncarnation), and 0 otherwise.
 std::string encodeWorkers(const WorkerTable &table);
 /// Whether the worker belongs in that record: it accepts starts, or holds runs or ends that are not stored yet.
 bool isRecorded(const Worker &worker);
--- a/core/dispatch/task_runs.cpp
+++ b/core/dispatch/task_runs.cpp
@@ -194,9 +194,11 @@
     // A worker that was idle gets a renewal soon; the lease that came with the start lasts longer than the delay.
     worker.nextRenewal = std::min(worker.nextRenewal, now + firstRenewalDelay);
     logLine(LogLevel::Info, logPart,
-        "Start ordered. task={} attempt={} worker={} incarnation={} token={} checkpoint={} free_cpu={} queue={}",
+        "Start ordered. task={} attempt={} worker={} incarnation={} token={} checkpoint={} free_cpu={} "
+        "longest_lease_ms={} queue={}",
         formatTaskKey(key), task.attempt, worker.entry.id, worker.entry.incarnation, dispatcher.token,
-        task.checkpoint.empty() ? "none" : task.checkpoint, freeRoom(worker).cpuMilli, place.job->record.queue.name);
+        task.checkpoint.empty() ? "none" : task.checkpoint, freeRoom(worker).cpuMilli,
+        (worker.requestedLease - workerClockNow(worker, now)).count(), place.job->record.queue.name);
 }
 
 void stopRun(Dispatcher &dispatcher, WorkerSlot slot, const TaskKey &key, MonotonicTime now)
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -121,6 +121,8 @@
         worker.runs.size());
     resetReportedState(worker, now);
     worker.incarnationDetectedAt = now;
+    worker.recorded = false;
+    dispatcher.workersChanged = true;
     worker.formerIncarnationToken = dispatcher.token;
     dispatcher.newTokenDue = true;
     std::vector<TaskKey> unanswered;
@@ -436,9 +438,8 @@
     if (known && worker.renewalFailures > 0) {
         call.timeout = slack;
     } else if (known) {
-        const milliseconds lease = std::min(dispatcher.bounds.workerLease, dispatcher.bounds.maxWorkerLease);
         if (dispatcher.canExtendLeases) {
-            call.leaseUntil = workerClockNow(worker, now) + lease;
+            call.leaseUntil = workerClockNow(worker, now) + requestedLease(dispatcher.bounds);
             worker.requestedLease = std::max(worker.requestedLease, call.leaseUntil);
         }
         const bool listDue
@@ -477,6 +478,28 @@
     }
 }
 
+/// Time by which a new incarnation's leases have ended that calls for the former one may have got before the restart
+/// was detected.
+MonotonicTime newIncarnationLeaseEndBy(const Dispatcher &dispatcher, const Worker &worker)
+{
+    return worker.incarnationDetectedAt + longestByWorkerClock(dispatcher.bounds.maxWorkerLease);
+}
+
+/// Notes that the leases of a worker are bounded once those that calls for a former incarnation may have got have run
+/// down to what leaders request. The worker has refused such calls since it replied to the present token.
+void updateLeaseBound(Dispatcher &dispatcher, Worker &worker, MonotonicTime now)
+{
+    if (areLeasesBounded(worker) || !worker.contacted || hasLateOrders(worker)) {
+        return;
+    }
+    if (worker.requestedLease <= workerClockNow(worker, now) + requestedLease(dispatcher.bounds)) {
+        worker.boundedIncarnation = worker.entry.incarnation;
+        dispatcher.workersChanged = true;
+        logLine(LogLevel::Info, logPart, "Leases of the incarnation are bounded. worker={} incarnation={} token={}",
+            worker.entry.id, worker.entry.incarnation, dispatcher.token);
+    }
+}
+
 /// Concludes the runs of an unreachable worker once its lease has expired.
 void concludeUnreachableRuns(Dispatcher &dispatcher, WorkerSlot slot, Now now)
 {
@@ -485,7 +508,7 @@
         return;
     }
     const MonotonicTime unknownLeaseEnd
-        = std::max(dispatcher.runDiscoveryDeadline, worker.incarnationDetectedAt + dispatcher.bounds.maxWorkerLease);
+        = std::max(formerLeasesEndBy(dispatcher, worker), newIncarnationLeaseEndBy(dispatcher, worker));
     const MonotonicTime runsEndedBy = (worker.contacted ? leaseEndsBy(worker) : unknownLeaseEnd) + leaseMargin;
     if (now.monotonic < runsEndedBy) {
         return;
@@ -570,6 +593,7 @@
         worker.listed = false;
         worker.inherited = true;
         worker.recorded = true;
+        worker.boundedIncarnation = entry.incarnation;
     }
 }
 
@@ -674,8 +698,10 @@
         worker.listed = false;
     }
     if (!worker.contacted || hasLateOrders(worker)) {
-        // A former leader, or an order that was meant for a former incarnation, may have extended the lease.
-        worker.requestedLease = std::max(worker.requestedLease, reply.clock + dispatcher.bounds.maxWorkerLease);
+        // A former leader, or a call that was meant for a former incarnation, may have extended the lease.
+        const milliseconds longest
+            = areLeasesBounded(worker) ? requestedLease(dispatcher.bounds) : dispatcher.bounds.maxWorkerLease;
+        worker.requestedLease = std::max(worker.requestedLease, reply.clock + longest);
     }
     worker.clock = reply.clock;
     worker.clockReadAt = now.monotonic;
@@ -708,6 +734,7 @@
     }
     for (WorkerSlot slot = 0; slot < dispatcher.workers.workers.size(); ++slot) {
         concludeUnreachableRuns(dispatcher, slot, now);
+        updateLeaseBound(dispatcher, dispatcher.workers.workers[slot], now.monotonic);
         std::vector<TaskKey> keys;
         for (const auto &[key, run] : dispatcher.workers.workers[slot].runs) {
             keys.push_back(key);
--- a/core/dispatch/worker_table.cpp
+++ b/core/dispatch/worker_table.cpp
@@ -40,6 +40,11 @@
     return worker.contacted && !worker.endsComplete;
 }
 
+bool areLeasesBounded(const Worker &worker)
+{
+    return worker.boundedIncarnation != 0 && worker.boundedIncarnation == worker.entry.incarnation;
+}
+
 bool areFormerRunsKnown(const Worker &worker)
 {
     // A worker that neither the directory nor the former leader's record names was never given a run.
@@ -58,11 +63,16 @@
     return worker.clock + std::chrono::floor<milliseconds>(elapsed);
 }
 
+milliseconds longestByWorkerClock(milliseconds time)
+{
+    const auto longest = std::chrono::duration<double, std::milli>(time) * maxWorkerClockRatio;
+    return std::chrono::ceil<milliseconds>(longest);
+}
+
 MonotonicTime leaseEndsBy(const Worker &worker)
 {
     const auto left = std::max(milliseconds(0), worker.requestedLease - worker.clock);
-    const auto longest = std::chrono::duration<double, std::milli>(left) * maxWorkerClockRatio;
-    return worker.clockReadAt + std::chrono::ceil<milliseconds>(longest);
+    return worker.clockReadAt + longestByWorkerClock(left);
 }
 
 MonotonicTime nextRenewalAfterEnds(const Worker &worker, MonotonicTime now)
--- a/core/dispatch/worker_table.h
+++ b/core/dispatch/worker_table.h
@@ -66,8 +66,13 @@
     bool inherited = false;
     /// When this leader last detected a new incarnation under the same id.
     MonotonicTime incarnationDetectedAt{};
-    /// The store's record of the workers contains this worker, so that a successor contacts it.
+    /// The store's record of the workers contains this worker, so that a successor contacts it, and names no other
+    /// incarnation than the current one.
     bool recorded = false;
+    /// The last incarnation whose leases were certain to last no longer than leaders request; 0 if there was none. A
+    /// new incarnation may carry out calls that were meant for the former one. Their times are on the former clock, far
+    /// ahead of the new one, and the worker shortens the lease only to the longest that it grants.
+    std::int64_t boundedIncarnation = 0;
     /// The worker replied to a call with this leader's fencing token, so it refuses orders of former leaders.
     bool contacted = false;
     /// A list from the current incarnation contained all of its ends: one that was not full. Before that, the worker
@@ -123,6 +128,9 @@
 /// Whether the worker was contacted and may have ends that this leader has not read, because each list so far was full.
 bool hasUnreadEnds(const Worker &worker);
 
+/// Whether the leases of the worker's current incarnation are certain to end within those that leaders request.
+bool areLeasesBounded(const Worker &worker);
+
 /// Whether it is known which runs of former leaders the worker has and which have ended.
 bool areFormerRunsKnown(const Worker &worker);
 
@@ -139,6 +147,8 @@
 
 /// Earliest time that the worker's clock can show now.
 WorkerTime workerClockNow(const Worker &worker, MonotonicTime now);
+/// Real time that passes at most while a worker's clock advances by this much.
+milliseconds longestByWorkerClock(milliseconds time);
 /// Time by this daemon's clock at which the worker's lease has expired even if the worker's clock is slow.
 MonotonicTime leaseEndsBy(const Worker &worker);
 
