dispatch: a reply's clock shows that its worker has started again

TWICE by the leader itself, in the simulated world only: a worker starts again under its id, the leader doesn't know yet and orders a start, the new life carries it out under the longest lease, and the worker is cut off before the directory shows the restart. The leader counted on the former life's lease and started the task elsewhere 3.7 s later, while it ran for up to 6 s.

Replies to orders carry the worker's clock, which begins anew with each life. A reply whose clock is behind the one that was read before the order was sent now counts as a restart: nothing more starts there, the lists are read at once, and without an answer the longest lease is waited for.

--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -62,6 +62,8 @@
     /// Fencing token of the order. The leader's token is higher if the claim was written again since.
     std::uint64_t token = 0;
     MonotonicTime sentAt{};
+    /// The worker's clock when it was last read before the order was sent.
+    WorkerTime clock{};
 };
 
 /// A worker in the record of the workers that is being stored.
--- a/core/dispatch/messages.h
+++ b/core/dispatch/messages.h
@@ -188,6 +188,8 @@
     CallId call = 0;
     CallStatus status = CallStatus::Unknown;
     StartRefusal refusal = StartRefusal::None;
+    /// The worker's clock when it replied; empty if the reply has none.
+    std::optional<WorkerTime> clock;
 };
 
 enum class RunEnd : std::uint8_t { Done, Failed, Stopped, LeaseExpired, GangBroken, GangAlone };
--- a/core/dispatch/task_runs.cpp
+++ b/core/dispatch/task_runs.cpp
@@ -53,7 +53,8 @@
             .task = key,
             .attempt = run.attempt,
             .token = dispatcher.token,
-            .sentAt = run.orderedAt});
+            .sentAt = run.orderedAt,
+            .clock = worker.clock});
     ++dispatcher.counters.startsOrdered;
     dispatcher.outbox->add(std::move(order));
 }
@@ -225,7 +226,8 @@
             .task = key,
             .attempt = run.attempt,
             .token = dispatcher.token,
-            .sentAt = now});
+            .sentAt = now,
+            .clock = worker.clock});
     dispatcher.outbox->add(std::move(order));
     worker.nextRenewal = std::min(worker.nextRenewal, now);
     logLine(LogLevel::Info, logPart, "Stop ordered. task={} attempt={} worker={}", formatTaskKey(key), run.attempt,
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -79,6 +79,7 @@
     worker.requestedLease = {};
     worker.previousRequestedLease = {};
     worker.startLease = {};
+    worker.clock = {};
     worker.renewalOpen = false;
     worker.renewalCall = 0;
     worker.renewalFailures = 0;
@@ -139,6 +140,23 @@
     }
 }
 
+/// Handles a reply to an order from which it is certain that the worker has started again: its clock begins anew with
+/// each incarnation. The next list names the incarnation. If there is none, the worker may run what it has started
+/// under the longest lease that it grants.
+void handleUnknownRestart(Dispatcher &dispatcher, WorkerSlot slot, MonotonicTime now)
+{
+    Worker &worker = dispatcher.workers.workers[slot];
+    logLine(LogLevel::Info, logPart, "Worker's clock began anew; it has restarted. worker={} former_incarnation={}",
+        worker.entry.id, worker.entry.incarnation);
+    worker.contacted = false;
+    worker.boundedIncarnation = 0;
+    worker.recorded = false;
+    dispatcher.workersChanged = true;
+    worker.incarnationDetectedAt = now;
+    worker.clock = {};
+    worker.nextRenewal = now;
+}
+
 void recordStart(Dispatcher &dispatcher, Job &job, MonotonicTime now)
 {
     if (!job.started) {
@@ -650,6 +668,9 @@
     if (dispatcher.workers.workers[order.worker].entry.incarnation != order.incarnation) {
         return;
     }
+    if (reply.clock && *reply.clock < order.clock) {
+        handleUnknownRestart(dispatcher, order.worker, now);
+    }
     if (order.isStart) {
         handleStartReply(dispatcher, order, reply, now);
     } else {
--- a/tests/dispatch/dispatch_world_calls.cpp
+++ b/tests/dispatch/dispatch_world_calls.cpp
@@ -255,7 +255,12 @@
             unanswered.status = CallStatus::Unreachable;
         }
         const bool timesOut = link == Link::Cut && rules.ownClocks;
-        replyToOrder(node, timesOut ? timeout : back, link == Link::Open ? act() : unanswered);
+        OrderReply result = unanswered;
+        if (link == Link::Open) {
+            result = act();
+            result.clock = clockOf(workers[worker]);
+        }
+        replyToOrder(node, timesOut ? timeout : back, result);
     });
 }
 
--- a/tests/dispatch/former_life_calls_test.cpp
+++ b/tests/dispatch/former_life_calls_test.cpp
@@ -45,19 +45,23 @@
         CHECK(world.runUntil([&] { return world.starts == before + tasks; }, milliseconds(3000)));
     }
 
-    /// The leader is killed, and no daemon reaches the restarted worker from then on, which runs on. The other one has
-    /// room.
-    void loseLeaderAndWorker()
+    /// No daemon reaches the restarted worker from now on; it runs on. The other one has room.
+    void cutWorker()
     {
         for (WorldRun &run : world.workers[1].runs) {
             run.work = milliseconds(0);
         }
-        world.kill(leader);
         for (std::size_t node = 0; node < world.nodes.size(); ++node) {
             world.workers[0].unreachableFrom.insert(node);
         }
     }
 
+    void loseLeaderAndWorker()
+    {
+        world.kill(leader);
+        cutWorker();
+    }
+
     World world{3, 2};
     std::size_t leader = 0;
 };
@@ -169,3 +173,44 @@
     CHECK(world.runUntil([&] { return world.starts == 2; }, milliseconds(5500)));
     checkNoViolations(world);
 }
+
+// Guards against the same by the leader that ordered the start, when the worker is cut off before the directory shows
+// its restart: the leader counted on the former life's lease. The clock in the reply to the start shows the restart.
+TEST(DispatchFormerLifeCalls, AStartThatReachesTheNextLifeIsNotRepeatedByItsLeader)
+{
+    RestartedWorker setup;
+    World &world = setup.world;
+    setup.start(firstJob, 2);
+    world.run(milliseconds(10));
+    CHECK_EQUAL(setup.leader, world.leaderIndex());
+    world.workers[0].unlisted = true;
+    setup.cutWorker();
+    world.run(milliseconds(9000));
+    CHECK_EQUAL(3, world.starts);
+    checkNoViolations(world);
+}
+
+// Guards against replies to the stops that follow a restart counting as another one, because the clock that was read
+// last is the former life's.
+TEST(DispatchFormerLifeCalls, AStopOfAnUnansweredStartDoesNotShowAnotherRestart)
+{
+    World world(2, 1);
+    world.rules.ownClocks = true;
+    world.run(settleTime);
+    world.workers[0].unresponsive = true;
+    world.submit(0, firstJob, specOf(1), "batch");
+    world.run(milliseconds(200));
+    CHECK_EQUAL(1, world.leader()->dispatcher->counters.startsOrdered);
+    world.crashWorker(0);
+    world.restartWorker(0);
+    const Worker &worker = world.leader()->dispatcher->workers.workers[0];
+    const auto isNoticed = [&] { return worker.entry.incarnation == world.workers[0].entry.incarnation; };
+    for (int i = 0; i < 1000 && !isNoticed(); ++i) {
+        world.run(milliseconds(1));
+    }
+    CHECK(isNoticed());
+    const MonotonicTime detectedAt = worker.incarnationDetectedAt;
+    world.run(milliseconds(3000));
+    CHECK(worker.incarnationDetectedAt == detectedAt);
+    CHECK_EQUAL(1, world.starts);
+}
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -101,6 +101,9 @@
     CHECK(platform::readRefusal(409, "?") == StartRefusal::Invalid);
     CHECK(platform::readRefusal(421, "") == StartRefusal::WrongIncarnation);
     CHECK(platform::readRefusal(503, "") == StartRefusal::Unavailable);
+    CHECK(platform::readReplyClock(R"({"clockMs":482113})") == WorkerTime(milliseconds(482113)));
+    CHECK(platform::readReplyClock(R"({"clockMs":"1","reason":"fence"})") == std::nullopt);
+    CHECK(platform::readReplyClock("") == std::nullopt);
 }
 
 // Guards against values that are altered when they are read from the store.
