dispatch: tell the lease that leaders request from the one requested of a worker

Worker::requestedLease is a time on the worker's clock, and the function of the same name a duration from the bounds. The function is leaderLease() now; nothing else changes.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -684,7 +684,7 @@
 {
     // A worker that the former leader did not record was never given a run.
     const bool mayBeLong = worker.inherited && !areLeasesBounded(worker);
-    const milliseconds lease = mayBeLong ? dispatcher.bounds.maxWorkerLease : requestedLease(dispatcher.bounds);
+    const milliseconds lease = mayBeLong ? dispatcher.bounds.maxWorkerLease : leaderLease(dispatcher.bounds);
     return dispatcher.claimedAt + longestByWorkerClock(lease) + inheritanceMargin;
 }
 
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -47,7 +47,7 @@
 };
 
 /// The lease that leaders request, counted from the request.
-inline milliseconds requestedLease(const DispatchBounds &bounds)
+inline milliseconds leaderLease(const DispatchBounds &bounds)
 {
     return std::min(bounds.workerLease, bounds.maxWorkerLease);
 }
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -457,7 +457,7 @@
         call.timeout = slack;
     } else if (known) {
         if (dispatcher.canExtendLeases) {
-            call.leaseUntil = workerClockNow(worker, now) + requestedLease(dispatcher.bounds);
+            call.leaseUntil = workerClockNow(worker, now) + leaderLease(dispatcher.bounds);
             worker.requestedLease = std::max(worker.requestedLease, call.leaseUntil);
         }
         const bool listDue
@@ -510,7 +510,7 @@
     if (areLeasesBounded(worker) || !worker.contacted || hasLateOrders(worker)) {
         return;
     }
-    if (worker.requestedLease <= workerClockNow(worker, now) + requestedLease(dispatcher.bounds)) {
+    if (worker.requestedLease <= workerClockNow(worker, now) + leaderLease(dispatcher.bounds)) {
         worker.boundedIncarnation = worker.entry.incarnation;
         dispatcher.workersChanged = true;
         logLine(LogLevel::Info, logPart, "Leases of the incarnation are bounded. worker={} incarnation={} token={}",
@@ -721,7 +721,7 @@
     if (!worker.contacted || hasLateOrders(worker)) {
         // A former leader, or a call that was meant for a former incarnation, may have extended the lease.
         const milliseconds longest
-            = areLeasesBounded(worker) ? requestedLease(dispatcher.bounds) : dispatcher.bounds.maxWorkerLease;
+            = areLeasesBounded(worker) ? leaderLease(dispatcher.bounds) : dispatcher.bounds.maxWorkerLease;
         worker.requestedLease = std::max(worker.requestedLease, reply.clock + longest);
     }
     worker.clock = reply.clock;
