--- a/core/dispatch/commit_streams.cpp
+++ b/core/dispatch/commit_streams.cpp
@@ -127,11 +127,15 @@
     return fmt::format("{}:{}", token, sequence);
 }
 
+milliseconds lengthenTimeout(milliseconds timeout, std::uint32_t timeouts)
+{
+    return timeout * (1 << std::min(timeouts / timeoutsPerDoubling, maxDoublings));
+}
+
 milliseconds storeTimeout(const StoreHealth &health, std::uint32_t timeouts)
 {
     const auto fromLatency = milliseconds(static_cast<std::int64_t>(health.latencyMs * timeoutPerLatency));
-    const std::uint32_t doublings = std::min(timeouts / timeoutsPerDoubling, maxDoublings);
-    return std::min(std::max(fromLatency, shortestTimeout) * (1 << doublings), longestTimeout);
+    return std::min(lengthenTimeout(std::max(fromLatency, shortestTimeout), timeouts), longestTimeout);
 }
 
 void recordStoreAnswer(StoreHealth &health, milliseconds latency)
--- a/core/dispatch/commit_streams.h
+++ b/core/dispatch/commit_streams.h
@@ -114,6 +114,9 @@
 void recordStoreAnswer(StoreHealth &health, milliseconds latency);
 void recordStoreFailure(StoreHealth &health, MonotonicTime now);
 
+/// The timeout of a call that has timed out so often in a row. It doubles after every second time, four times at most.
+milliseconds lengthenTimeout(milliseconds timeout, std::uint32_t timeouts);
+
 /// How long to wait for the store's reply, given its recent latency and how often this call has timed out.
 milliseconds storeTimeout(const StoreHealth &health, std::uint32_t timeouts);
 
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -46,6 +46,8 @@
 /// Pause before a page of records is read again after a failure. A store that refuses calls does so within a round
 /// trip.
 constexpr milliseconds loadRetry{50};
+/// Largest page of records, by the platform's contract.
+constexpr double largestPageBytes = 1 << 20;
 
 void setPhase(Node &node, ClaimPhase phase, MonotonicTime now)
 {
@@ -277,14 +279,32 @@
     node.outbox.add(std::move(claim));
 }
 
+/// How long to wait for a page of records: it has to cross this daemon's link. A page that is given up too early has to
+/// cross the link again, and the takeover would never finish.
+milliseconds pageTimeout(const Node &node)
+{
+    const double rate = node.options.linkBytesPerSecond;
+    const std::chrono::duration<double> transfer(rate > 0 ? largestPageBytes / rate : 0.0);
+    return lengthenTimeout(storeCallTimeout + std::chrono::ceil<milliseconds>(transfer), node.leadership.loadTimeouts);
+}
+
 void loadPage(Node &node, StorePurpose purpose, std::string_view prefix)
 {
-    node.outbox.add(StoreRange{
-        .call = newStoreCall(node, purpose), .prefix = std::string(prefix), .after = node.leadership.loadAfter});
+    node.outbox.add(StoreRange{.call = newStoreCall(node, purpose),
+        .prefix = std::string(prefix),
+        .after = node.leadership.loadAfter,
+        .timeout = pageTimeout(node)});
 }
 
-void retryLoad(Node &node, StorePurpose purpose, Now now)
+/// Requests the page again after a pause.
+void retryLoad(Node &node, StorePurpose purpose, const StoreReply &reply, Now now)
 {
+    if (reply.status == CallStatus::Unknown) {
+        ++node.leadership.loadTimeouts;
+        logLine(LogLevel::Info, logPart,
+            "A page of records did not arrive in time. after={} attempts={} next_timeout_ms={}",
+            node.leadership.loadAfter, node.leadership.loadTimeouts, pageTimeout(node).count());
+    }
     node.leadership.failedLoad = purpose;
     node.leadership.failedLoadRetryAt = now.monotonic + loadRetry;
 }
@@ -384,6 +404,7 @@
     createDispatcher(node, reply.revision, now.monotonic);
     inheritRecordedWorkers(node);
     leadership.loadAfter.clear();
+    leadership.loadTimeouts = 0;
     setPhase(node, ClaimPhase::LoadingJobs, now.monotonic);
     loadPage(node, StorePurpose::LoadJobs, jobPrefix);
     node.nextPresence = now.monotonic;
@@ -403,9 +424,10 @@
     }
     if (reply.status != CallStatus::Ok) {
         // Reads the same page again. Whether this daemon still leads depends only on the lease of its claim.
-        retryLoad(node, purpose, now);
+        retryLoad(node, purpose, reply, now);
         return;
     }
+    node.leadership.loadTimeouts = 0;
     for (const StoreItem &item : reply.items) {
         loadItem(node, item);
         node.leadership.loadAfter = item.key;
@@ -455,9 +477,10 @@
         return;
     }
     if (reply.status != CallStatus::Ok) {
-        retryLoad(node, StorePurpose::LoadEnds, now);
+        retryLoad(node, StorePurpose::LoadEnds, reply, now);
         return;
     }
+    node.leadership.loadTimeouts = 0;
     for (const StoreItem &item : reply.items) {
         loadEndItem(node, item, now.monotonic);
         node.leadership.loadAfter = item.key;
--- a/core/dispatch/messages.h
+++ b/core/dispatch/messages.h
@@ -51,6 +51,10 @@
     std::uint64_t lease = 0;
 };
 
+/// How long to wait for the store's reply to a read or a call about a lease. It answers within milliseconds, and within
+/// a quarter of a second when it is slow.
+inline constexpr milliseconds storeCallTimeout{700};
+
 /// Reads one page of the keys with a prefix.
 struct StoreRange
 {
@@ -60,6 +64,7 @@
     std::string after;
     /// Allows a reply that is some seconds old, at a tenth of the cost.
     bool allowStale = false;
+    milliseconds timeout = storeCallTimeout;
 };
 
 struct StoreCondition
@@ -268,6 +273,8 @@
 struct ReadWorkers
 {
     CallId call = 0;
+    /// For each page of the directory.
+    milliseconds timeout = storeCallTimeout;
 };
 
 struct WorkersReply
--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -220,7 +220,8 @@
     }
     node.workerPoll.open = true;
     node.workerPoll.call = node.outbox.newCall();
-    node.outbox.add(ReadWorkers{.call = node.workerPoll.call});
+    node.outbox.add(ReadWorkers{
+        .call = node.workerPoll.call, .timeout = lengthenTimeout(storeCallTimeout, node.workerPoll.timeouts)});
 }
 
 /// Numbers the presence messages that are sent now.
@@ -487,6 +488,7 @@
         return;
     }
     node.workerPoll.open = false;
+    node.workerPoll.timeouts = reply.status == CallStatus::Unknown ? node.workerPoll.timeouts + 1 : 0;
     if (reply.status != CallStatus::Ok) {
         node.workerPoll.next = now.monotonic + workerPollRetry;
         return;
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -118,6 +118,8 @@
     /// The page of records to read again after a failure, and when.
     std::optional<StorePurpose> failedLoad;
     MonotonicTime failedLoadRetryAt{};
+    /// Requests for the present page of records that got no reply.
+    std::uint32_t loadTimeouts = 0;
     std::map<JobId, JobRecord> loadedJobs;
     std::map<JobId, std::string> loadedProgress;
     MonotonicTime leadingSince{};
@@ -204,6 +206,8 @@
     bool open = false;
     MonotonicTime next{};
     CallId call = 0;
+    /// Reads in a row that got no reply.
+    std::uint32_t timeouts = 0;
 };
 
 /// State of one daemon, which follows or leads and serves clients' calls.
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -154,6 +154,8 @@
     /// Added to the time that replies of the store and messages of other daemons take.
     milliseconds storeLatency{0};
     milliseconds peerLatency{0};
+    /// Rate at which pages of the store arrive; 0 for at once.
+    std::int64_t pageBytesPerSecond = 0;
     /// When the last message of each daemon arrives; messages on one connection stay in order.
     std::map<std::string, milliseconds> peerArrivals;
     /// When the last start that the daemon sent has left its link.
@@ -296,7 +298,9 @@
     void carryOut(std::size_t, const LeaderAnswer &) {}
     void carryOut(std::size_t, const ReadinessChanged &) {}
     void carryOut(std::size_t, const ObserveDuration &) {}
-    void callStore(std::size_t node, milliseconds timeout, bool isWrite, const StoreHandler &make);
+    void callStore(std::size_t node, milliseconds timeout, bool isWrite, const StoreHandler &make,
+        milliseconds transfer = milliseconds(0));
+    milliseconds transferTime(std::size_t node, const StoreReply &page) const;
     bool isReplyLost(std::size_t node, bool isWrite);
     void holdWrite(std::size_t node, const StoreTransaction &transaction);
     void replyToOrder(std::size_t node, milliseconds delay, OrderReply result);
--- a/tests/dispatch/dispatch_world_calls.cpp
+++ b/tests/dispatch/dispatch_world_calls.cpp
@@ -40,14 +40,15 @@
     return store.unansweredNodes.contains(node) || (isWrite && randomBelow(random, 100) < store.lostReplyPercent);
 }
 
-void World::callStore(std::size_t node, milliseconds timeout, bool isWrite, const StoreHandler &make)
+void World::callStore(
+    std::size_t node, milliseconds timeout, bool isWrite, const StoreHandler &make, milliseconds transfer)
 {
     // Carried out even if the daemon stops meanwhile.
-    after(storeDelay, [this, node, timeout, isWrite, make, caller = nodes[node].node.get()] {
+    after(storeDelay, [this, node, timeout, isWrite, make, transfer, caller = nodes[node].node.get()] {
         ++store.calls;
         const bool silent = isSilent(node);
         auto handle = silent ? make(CallStatus::Unknown) : make(isRefused(node) ? CallStatus::Refused : CallStatus::Ok);
-        milliseconds delay = nodes[node].storeLatency;
+        milliseconds delay = nodes[node].storeLatency + transfer;
         if (silent || (!isRefused(node) && isReplyLost(node, isWrite)) || delay > timeout) {
             handle = make(CallStatus::Unknown);
             delay = timeout;
@@ -89,13 +90,32 @@
     });
 }
 
+milliseconds World::transferTime(std::size_t node, const StoreReply &page) const
+{
+    const std::int64_t rate = nodes[node].pageBytesPerSecond;
+    std::int64_t bytes = 0;
+    for (const StoreItem &item : page.items) {
+        bytes += static_cast<std::int64_t>(item.value.size());
+    }
+    return milliseconds(rate > 0 ? bytes * 1000 / rate : 0);
+}
+
 void World::carryOut(std::size_t node, const StoreRange &request)
 {
-    callStore(node, callTimeout, false, [this, request](CallStatus status) {
-        StoreReply result = status == CallStatus::Ok ? range(request) : StoreReply{.call = request.call, .items = {}};
-        result.status = status;
-        return storeReplyHandler(std::move(result));
-    });
+    const milliseconds transfer = transferTime(node, range(request));
+    const bool arrives = transfer <= request.timeout;
+    callStore(
+        node, request.timeout, false,
+        [this, request, arrives](CallStatus status) {
+            if (status == CallStatus::Ok && !arrives) {
+                status = CallStatus::Unknown;
+            }
+            StoreReply result
+                = status == CallStatus::Ok ? range(request) : StoreReply{.call = request.call, .items = {}};
+            result.status = status;
+            return storeReplyHandler(std::move(result));
+        },
+        std::min(transfer, request.timeout));
 }
 
 void World::carryOut(std::size_t node, const StoreOpenLease &open)
