tests: one set-up for takeovers that lose the leader while a task runs

Three tests of DispatchFormerLifeCalls started one task, found its worker and killed the leader in the same lines. The assertions are the same; the whole unit run passes.

--- a/tests/dispatch/former_life_calls_test.cpp
+++ b/tests/dispatch/former_life_calls_test.cpp
@@ -77,6 +77,17 @@
     return entry->incarnation;
 }
 
+/// Runs a job of one task until it was started, and kills the leader. Returns the worker that runs the task.
+std::size_t startAndLoseLeader(World &world)
+{
+    const std::size_t leader = world.leaderIndex();
+    world.submit(leader, firstJob, specOf(1), "batch");
+    CHECK(world.runUntil([&] { return world.starts == 1; }, milliseconds(500)));
+    const std::size_t worker = busyWorker(world);
+    world.kill(leader);
+    return worker;
+}
+
 } // namespace
 
 TEST_GROUP(DispatchFormerLifeCalls){};
@@ -140,11 +151,7 @@
     World world(3, 3);
     world.rules.ownClocks = true;
     world.run(settleTime);
-    const std::size_t leader = world.leaderIndex();
-    world.submit(leader, firstJob, specOf(1), "batch");
-    CHECK(world.runUntil([&] { return world.starts == 1; }, milliseconds(500)));
-    const std::size_t worker = busyWorker(world);
-    world.kill(leader);
+    const std::size_t worker = startAndLoseLeader(world);
     world.crashWorker(worker);
     // Detection and claim 1 s, the lease by a clock that is 2% slow 3.6 s, the margin 1 s; the longest lease would take
     // 2.5 s more.
@@ -161,13 +168,9 @@
     world.run(settleTime);
     const std::size_t worker = world.addWorker();
     world.addWorker();
-    const std::size_t leader = world.leaderIndex();
     world.run(milliseconds(1000));
     CHECK_EQUAL(world.workers[worker].entry.incarnation, recordedIncarnation(world, world.workers[worker].entry.id));
-    world.submit(leader, firstJob, specOf(1), "batch");
-    CHECK(world.runUntil([&] { return world.starts == 1; }, milliseconds(500)));
-    const std::size_t busy = busyWorker(world);
-    world.kill(leader);
+    const std::size_t busy = startAndLoseLeader(world);
     world.crashWorker(busy);
     world.crashWorker(worker);
     CHECK(world.runUntil([&] { return world.starts == 2; }, milliseconds(6000)));
@@ -180,11 +183,7 @@
     World world(3, 3);
     world.rules.ownClocks = true;
     world.run(settleTime);
-    const std::size_t leader = world.leaderIndex();
-    world.submit(leader, firstJob, specOf(1), "batch");
-    CHECK(world.runUntil([&] { return world.starts == 1; }, milliseconds(500)));
-    const std::size_t worker = busyWorker(world);
-    world.kill(leader);
+    const std::size_t worker = startAndLoseLeader(world);
     const auto isTakenOver = [&] {
         const Node *next = world.leader();
         return next != nullptr && next->dispatcher->runDiscoveryFinished;
