dispatch: split placement.cpp into files of core/dispatch/placement

One file held the order of steps, the choice of workers, advice requests, plans, pre-emption and the pass. Policies for shares, speeds and waits need these apart. The tests of the groups Dispatch* pass as before.

--- /dev/null
+++ b/core/dispatch/placement/gang_placement.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "core/dispatch/placement/step_order.h"
+
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace wigeonkeel::dispatch
+{
+
+/// Places for all members of a gang within the given room of the allowed workers; nothing if not all of them fit. To
+/// limit fragmentation, workers that would have the least room left over are filled first. One rack is preferred if the
+/// gang runs slower on several.
+std::optional<std::vector<PlannedPlace>> placeGang(
+    const Dispatcher &dispatcher, const ReadyStep &ready, std::span<const Resources> room, MonotonicTime now);
+
+/// Starts the gang if all of its members have a place, otherwise reserves places, requests advice or pre-empts.
+void placeWholeGang(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now);
+
+} // namespace wigeonkeel::dispatch
--- /dev/null
+++ b/core/dispatch/placement/placement_pass.cpp
@@ -0,0 +1,210 @@
+#include "core/dispatch/blocked_needs.h"
+#include "core/dispatch/dispatcher.h"
+#include "core/dispatch/placement/advice_requests.h"
+#include "core/dispatch/placement/gang_placement.h"
+#include "core/dispatch/placement/single_placement.h"
+#include "core/dispatch/placement/worker_room.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+#include <iterator>
+#include <span>
+
+namespace wigeonkeel::dispatch
+{
+
+namespace
+{
+
+/// Most orders without a reply. A reply across zones takes about 8 ms, so this allows 8,000 orders a second.
+constexpr std::size_t maxOpenOrders = 64;
+/// Each pass examines the most urgent steps until this many have found no room.
+constexpr std::size_t maxBlockedSteps = 60;
+/// While the workers are mostly idle, a pass also examines the remaining steps after the ones that the last pass
+/// examined, until this many more have found no room. Less urgent steps may fit where more urgent ones don't.
+constexpr std::size_t maxBlockedStepsInTurn = 15;
+/// Up to this share of the processors in use, waiting jobs must start where they fit, by the platform's rules. Above
+/// it, room is left to the most urgent steps, which would otherwise find it taken by jobs that are very late.
+constexpr double mostlyIdleShare = 0.5;
+/// Added to the time between passes for each worker that a blocked step examined; about five times what examining the
+/// worker takes.
+constexpr std::chrono::microseconds timePerExaminedWorker{2};
+/// The same for each step with tasks that can start: collecting and sorting them takes 0.6 us a step.
+constexpr std::chrono::microseconds timePerReadyStep{3};
+constexpr milliseconds minPassSpacing{3};
+
+/// Starts the step's tasks that can start, and requests the advice that it lacks. Returns whether a single task found
+/// no room.
+bool placeStep(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
+{
+    if (needsTicket(ready) && ready.step->allowed.empty()) {
+        requestMoreAdvice(dispatcher, ready, now);
+        return false;
+    }
+    if (ready.spec->gang) {
+        placeWholeGang(dispatcher, ready, now);
+        return false;
+    }
+    return placeSingles(dispatcher, ready, now);
+}
+
+/// Whether no task of the step can start before the reply to its open advice request. Such steps don't count as
+/// blocked: a line of them must not end the pass before the steps that could start.
+bool awaitsAdvice(const Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
+{
+    return needsTicket(ready) && ready.step->adviceOpen && ready.step->plan.empty()
+        && std::ranges::none_of(
+            ready.step->allowed, [&](const auto &entry) { return hasTicket(dispatcher, ready, entry.first, now); });
+}
+
+/// Replaces a request whose turn has come by what its step lacks now. While it waited, the places that it was meant for
+/// may have been taken; a call for them would be wasted, and the step would wait in the line again.
+bool prepareAdvice(Dispatcher &dispatcher, AdviceRequest &request, MonotonicTime now)
+{
+    Job *job = findJob(dispatcher.jobs, request.step.job);
+    StepRun *step = job == nullptr || isEnded(job->state) ? nullptr : findStep(*job, request.step);
+    if (step == nullptr) {
+        return false;
+    }
+    step->adviceOpen = false;
+    if (!hasReadyTasks(*step, now)) {
+        return false;
+    }
+    ReadyStep ready = readyStepOf(dispatcher, *job, request.step, *step, now);
+    ready.isAdviceNext = true;
+    placeStep(dispatcher, ready, now);
+    if (!step->adviceOpen) {
+        return false;
+    }
+    AdviceRequest current = std::move(dispatcher.advisor.waiting.back());
+    dispatcher.advisor.waiting.pop_back();
+    current.queuedAt = request.queuedAt;
+    current.tries = request.tries;
+    request = std::move(current);
+    ++dispatcher.counters.adviceRequests;
+    return true;
+}
+
+/// One pass of the placement.
+struct PlacementPass
+{
+    BlockedNeeds needs;
+    /// Number of examined steps that found no room.
+    std::size_t blocked = 0;
+};
+
+PlacementNeed needOf(const ReadyStep &ready)
+{
+    return {.pool = ready.queue->pool,
+        .label = ready.spec->requiredLabel,
+        .size = chargedSize(*ready.spec),
+        .priority = ready.queue->priority,
+        .canPreempt = ready.rank < lateRank};
+}
+
+/// Whether the step finds room if another one with the same need does: nothing but its need restricts its workers.
+bool isNeedSufficient(const ReadyStep &ready)
+{
+    return !needsTicket(ready) && !ready.spec->gang && ready.spec->maxPerWorker == 0;
+}
+
+void examineStep(Dispatcher &dispatcher, PlacementPass &pass, const ReadyStep &ready, MonotonicTime now)
+{
+    if (awaitsAdvice(dispatcher, ready, now)) {
+        return;
+    }
+    // Limits open orders, because the many starts of a backlog after an outage would delay all other work of the loop.
+    // Replies to open orders make room for the next ones.
+    const bool canStart = dispatcher.orders.size() < maxOpenOrders && hasRoom(dispatcher.outbox->link);
+    // Steps without advice request it meanwhile.
+    if (!canStart && !(needsTicket(ready) && ready.step->allowed.empty())) {
+        return;
+    }
+    const bool comparable = isNeedSufficient(ready);
+    if (comparable && ready.step->plan.empty() && isBlocked(pass.needs, needOf(ready))) {
+        return;
+    }
+    const std::uint32_t waiting = ready.step->waiting;
+    const bool foundNoRoom = placeStep(dispatcher, ready, now);
+    if (needsTicket(ready) && ready.step->allowed.empty()) {
+        return;
+    }
+    if (comparable && foundNoRoom) {
+        addBlocked(pass.needs, needOf(ready));
+    }
+    pass.blocked += ready.step->waiting == waiting ? 1 : 0;
+}
+
+/// Pools with at most `mostlyIdleShare` of the processors of the workers that accept starts in use.
+absl::flat_hash_set<std::string_view> mostlyIdlePools(const Dispatcher &dispatcher, MonotonicTime now)
+{
+    absl::flat_hash_map<std::string_view, Resources> spare;
+    for (const Worker &worker : dispatcher.workers.workers) {
+        if (canAcceptStarts(worker, now)) {
+            const auto allowed = mostlyIdleShare * static_cast<double>(worker.entry.capacity.cpuMilli);
+            spare[worker.entry.pool].cpuMilli += static_cast<std::int64_t>(allowed) - worker.used.cpuMilli;
+        }
+    }
+    absl::flat_hash_set<std::string_view> idle;
+    for (const auto &[pool, room] : spare) {
+        if (room.cpuMilli >= 0) {
+            idle.insert(pool);
+        }
+    }
+    return idle;
+}
+
+/// Examines the steps from `from` on until so many have found no room in this pass. Returns the first one that was not
+/// examined.
+std::size_t examineSteps(Dispatcher &dispatcher, PlacementPass &pass, std::span<const ReadyStep> steps,
+    std::size_t from, std::size_t maxBlocked, MonotonicTime now)
+{
+    while (from < steps.size() && pass.blocked < maxBlocked) {
+        examineStep(dispatcher, pass, steps[from++], now);
+    }
+    return from;
+}
+
+/// Examines some of these steps, beginning after the last one that the last pass examined, if their pools are mostly
+/// idle.
+void examineStepsInTurn(
+    Dispatcher &dispatcher, PlacementPass &pass, std::span<const ReadyStep> remaining, MonotonicTime now)
+{
+    const auto idle = mostlyIdlePools(dispatcher, now);
+    std::vector<ReadyStep> steps;
+    std::ranges::copy_if(remaining, std::back_inserter(steps),
+        [&idle](const ReadyStep &ready) { return idle.contains(ready.queue->pool); });
+    std::size_t first = 0;
+    if (dispatcher.placedUpTo) {
+        const auto later = std::ranges::upper_bound(steps, *dispatcher.placedUpTo, {}, positionOf);
+        first = later == steps.end() ? 0 : static_cast<std::size_t>(later - steps.begin());
+    }
+    const std::size_t next = examineSteps(dispatcher, pass, steps, first, maxBlockedSteps + maxBlockedStepsInTurn, now);
+    dispatcher.placedUpTo = next < steps.size() ? std::optional(positionOf(steps[next - 1])) : std::nullopt;
+}
+
+} // namespace
+
+void placeTasks(Dispatcher &dispatcher, MonotonicTime now)
+{
+    dispatcher.placementDue = false;
+    if (dispatcher.deposed || !dispatcher.canExtendLeases) {
+        return;
+    }
+    refill(dispatcher.outbox->link, now);
+    const std::vector<ReadyStep> steps = readySteps(dispatcher, now);
+    PlacementPass pass;
+    const std::size_t next = examineSteps(dispatcher, pass, steps, 0, maxBlockedSteps, now);
+    if (next < steps.size()) {
+        examineStepsInTurn(dispatcher, pass, std::span(steps).subspan(next), now);
+    }
+    // A step that finds no room examines every worker. The time between passes limits them to a fifth of a core.
+    const auto spacing = timePerExaminedWorker * static_cast<int>(pass.blocked * dispatcher.workers.workers.size())
+        + timePerReadyStep * static_cast<int>(steps.size());
+    dispatcher.nextPlacement = now + std::max(minPassSpacing, std::chrono::ceil<milliseconds>(spacing));
+    const auto prepare = [&dispatcher, now](AdviceRequest &request) { return prepareAdvice(dispatcher, request, now); };
+    sendWaitingRequests(dispatcher.advisor, dispatcher.workers, *dispatcher.outbox, now, prepare);
+}
+
+} // namespace wigeonkeel::dispatch
--- /dev/null
+++ b/core/dispatch/placement/single_placement.cpp
@@ -0,0 +1,123 @@
+#include "core/dispatch/placement/single_placement.h"
+
+#include "core/dispatch/placement/advice_requests.h"
+#include "core/dispatch/placement/place_plans.h"
+#include "core/dispatch/placement/preemption.h"
+#include "core/dispatch/placement/worker_room.h"
+
+#include <algorithm>
+#include <span>
+#include <tuple>
+#include <vector>
+
+namespace wigeonkeel::dispatch
+{
+
+namespace
+{
+
+struct SinglePlace
+{
+    WorkerSlot slot = noWorker;
+    bool hasTicket = false;
+};
+
+/// The best allowed worker with room for the task. In order of importance: not the worker where the task last failed,
+/// with a valid ticket, on the data's rack, with the least free cpu.
+SinglePlace chooseSingle(Dispatcher &dispatcher, const ReadyStep &ready, const Task &task,
+    std::span<const Resources> room, MonotonicTime now)
+{
+    SinglePlace best;
+    auto bestRank = std::tuple(true, true, true, std::int64_t{0});
+    const Resources size = chargedSize(*ready.spec);
+    const auto consider = [&](WorkerSlot slot) {
+        const Worker &worker = dispatcher.workers.workers[slot];
+        if (!fits(size, room[slot]) || !isEligible(ready, worker, now) || remainingPerWorker(ready, slot) == 0) {
+            return;
+        }
+        const bool ticket = hasTicket(dispatcher, ready, slot, now);
+        const bool far = !ready.spec->dataRack.empty() && worker.entry.rack != ready.spec->dataRack;
+        const auto rank = std::tuple(task.failedOn == slot, !ticket, far, room[slot].cpuMilli);
+        if (best.slot == noWorker || rank < bestRank) {
+            best = {.slot = slot, .hasTicket = ticket};
+            bestRank = rank;
+        }
+    };
+    if (needsTicket(ready)) {
+        for (const auto &[slot, allowance] : ready.step->allowed) {
+            consider(slot);
+        }
+    } else {
+        for (WorkerSlot slot = 0; slot < dispatcher.workers.workers.size(); ++slot) {
+            consider(slot);
+        }
+    }
+    return best;
+}
+
+bool isPlanned(const StepRun &step, std::uint32_t index)
+{
+    return std::ranges::find(step.plan, index, &PlannedPlace::task) != step.plan.end();
+}
+
+/// Stops less urgent runs to make room for one task. False if that can't free enough room.
+bool preemptForOne(Dispatcher &dispatcher, const ReadyStep &ready, std::uint32_t index, MonotonicTime now)
+{
+    const std::vector<Resources> room = roomAfterPreemption(dispatcher, ready, now);
+    const SinglePlace found = chooseSingle(dispatcher, ready, ready.step->tasks[index], room, now);
+    const PlannedPlace place{.task = index, .worker = found.slot};
+    return found.slot != noWorker && preemptForPlan(dispatcher, ready, std::span(&place, 1), now);
+}
+
+} // namespace
+
+bool placeSingles(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
+{
+    continuePlan(dispatcher, ready, now);
+    const auto canStart = [&ready, now](std::uint32_t index) {
+        return isStartable(ready.step->tasks[index], now) && !isPlanned(*ready.step, index);
+    };
+    std::vector<Resources> room = roomOfWorkers(dispatcher);
+    std::vector<WorkerSlot> expired;
+    bool noRoom = false;
+    for (std::uint32_t index = 0; index < ready.step->tasks.size(); ++index) {
+        if (!canStart(index)) {
+            continue;
+        }
+        const SinglePlace found = chooseSingle(dispatcher, ready, ready.step->tasks[index], room, now);
+        if (found.slot == noWorker) {
+            noRoom = true;
+            break;
+        }
+        room[found.slot] -= chargedSize(*ready.spec);
+        if (!found.hasTicket) {
+            if (ready.isAdviceNext) {
+                // Without the reservation, all waiting steps would renew tickets for the same room, and all but one of
+                // the calls would be wasted.
+                const PlannedPlace place{.task = index, .worker = found.slot};
+                const milliseconds wait = adviceTime(ready, expired.size() + 1) + planSlack;
+                reserve(dispatcher, ready, std::span(&place, 1), now + wait);
+            }
+            if (std::ranges::find(expired, found.slot) == expired.end()) {
+                expired.push_back(found.slot);
+            }
+            continue;
+        }
+        startTask(dispatcher, placeOf(ready, index), {.step = ready.key, .index = index}, found.slot, now);
+    }
+    if (!expired.empty()) {
+        requestAdvice(dispatcher, ready, std::move(expired), now);
+        return false;
+    }
+    if (!noRoom || (needsTicket(ready) && requestMoreAdvice(dispatcher, ready, now))) {
+        return false;
+    }
+    for (std::uint32_t index = 0; index < ready.step->tasks.size(); ++index) {
+        if (canStart(index) && !preemptForOne(dispatcher, ready, index, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace wigeonkeel::dispatch
--- a/tests/dispatch/dispatch_placement_test.cpp
+++ b/tests/dispatch/dispatch_placement_test.cpp
@@ -1,4 +1,4 @@
-#include "core/dispatch/placement.h"
+#include "core/dispatch/placement/worker_room.h"
 #include "tests/dispatch/dispatch_world.h"
 
 #include <CppUTest/TestHarness.h>
