--- a/core/cell/admission.cpp
+++ b/core/cell/admission.cpp
@@ -231,15 +231,6 @@
     }
 }
 
-double dominantShare(const Resources &amount, const Resources &capacity)
-{
-    const auto share = [](std::int64_t part, std::int64_t whole) {
-        return whole <= 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole);
-    };
-    return std::max({share(amount.cpuMilli, capacity.cpuMilli), share(amount.memoryMib, capacity.memoryMib),
-        share(amount.accelerators, capacity.accelerators), share(amount.slots, capacity.slots)});
-}
-
 bool mayTakeIdle(
     const AdmissionTable &table, const AdmissionTable::Key &team, const Resources &size, const Resources &capacity)
 {
--- a/core/cell/admission.h
+++ b/core/cell/admission.h
@@ -92,9 +92,6 @@
 void noteTaskStarted(AdmissionTable &table, const TaskLabel &label, const Resources &size);
 void noteTaskEnded(AdmissionTable &table, const TaskLabel &label, const Resources &size);
 
-/// Largest share of any resource that the amount has of the capacity.
-double dominantShare(const Resources &amount, const Resources &capacity);
-
 /// True if a team may take a task's size from idle capacity: it stays within its share by weight, or no other team with
 /// waiting tasks is below its own share.
 bool mayTakeIdle(
--- a/core/dispatch/advice_lines.cpp
+++ b/core/dispatch/advice_lines.cpp
@@ -34,7 +34,7 @@
 
 bool isOverdue(const AdviceRequest &request, MonotonicTime now)
 {
-    return now - request.queuedAt >= overdueAfter;
+    return !request.isExcess && now - request.queuedAt >= overdueAfter;
 }
 
 bool mayUseChannel(const Advisor &advisor, std::size_t channel, const AdviceRequest &request, MonotonicTime now)
@@ -50,7 +50,8 @@
     const bool overdueFirst = advisor.channels[channel].timeOwedToUrgent.count() == 0;
     const auto rank = [overdueFirst, now](const AdviceRequest &each) {
         const bool first = overdueFirst && isOverdue(each, now);
-        return first ? std::tuple(false, 0U, each.queuedAt) : std::tuple(true, each.priority, each.dueBy);
+        return first ? std::tuple(false, false, 0U, each.queuedAt)
+                     : std::tuple(true, each.isExcess, each.priority, each.dueBy);
     };
     auto best = advisor.waiting.end();
     for (auto request = advisor.waiting.begin(); request != advisor.waiting.end(); ++request) {
--- a/core/dispatch/advice_lines.h
+++ b/core/dispatch/advice_lines.h
@@ -34,6 +34,8 @@
 {
     StepKey step;
     std::vector<WorkerSlot> workers;
+    /// The step's job is beyond its tenant's rate: the request waits behind all others, however long.
+    bool isExcess = false;
     std::uint32_t priority = 0;
     MonotonicTime dueBy{};
     std::chrono::microseconds expectedTime{0};
--- a/core/dispatch/configuration.cpp
+++ b/core/dispatch/configuration.cpp
@@ -15,6 +15,12 @@
     }
 }
 
+void indexKeys(Configuration &configuration, std::uint64_t seed)
+{
+    configuration.keys
+        = configuration.tenants ? buildKeyIndex(*configuration.tenants, seed) : KeyIndex{.seed = seed, .byHash = {}};
+}
+
 const QueueConfig *findQueue(const Configuration &configuration, std::string_view host, std::string_view path)
 {
     const auto found = configuration.byHost.find(std::string(host));
--- a/core/dispatch/configuration.h
+++ b/core/dispatch/configuration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/tenants/key_index.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -42,6 +43,8 @@
     milliseconds target{0};
     /// Empty if any worker may run the queue's steps without advice.
     std::optional<AdviceTimes> advice;
+    /// Calls need no API key.
+    bool isPublic = false;
 };
 
 struct PoolConfig
@@ -68,6 +71,10 @@
     std::vector<QueueConfig> queues;
     std::vector<PoolConfig> pools;
     ClientLimits limits;
+    /// Without a value, the deployment has no tenants and calls need no key.
+    std::optional<std::vector<TenantConfig>> tenants;
+    /// Keys of the tenants; see indexKeys().
+    KeyIndex keys;
     /// Positions in `queues`, by name and by host; see indexQueues(). Operators may have thousands of queues.
     absl::flat_hash_map<std::string, std::size_t> byName;
     absl::flat_hash_map<std::string, std::vector<std::size_t>> byHost;
@@ -76,6 +83,9 @@
 /// Rebuilds the indexes. Call it after `queues` has changed.
 void indexQueues(Configuration &configuration);
 
+/// Rebuilds the index of the tenants' keys. `seed` is a secret of the process.
+void indexKeys(Configuration &configuration, std::uint64_t seed);
+
 /// The queue of this host whose prefix is the longest that matches the path; null if there is none.
 const QueueConfig *findQueue(const Configuration &configuration, std::string_view host, std::string_view path);
 const QueueConfig *findQueueByName(const Configuration &configuration, const std::string &name);
--- a/core/dispatch/configuration_watch.cpp
+++ b/core/dispatch/configuration_watch.cpp
@@ -34,10 +34,14 @@
     if (!isNewer(node, configuration)) {
         return;
     }
-    logLine(LogLevel::Info, logPart, "Configuration in force. version={} before={} queues={} source={}",
-        configuration.version, node.configuration.version, configuration.queues.size(), source);
+    logLine(LogLevel::Info, logPart, "Configuration in force. version={} before={} queues={} tenants={} source={}",
+        configuration.version, node.configuration.version, configuration.queues.size(),
+        configuration.tenants ? configuration.tenants->size() : 0, source);
     node.configuration = configuration;
     node.hasConfiguration = true;
+    if (node.configuration.tenants) {
+        indexKeys(node.configuration, nextRandom(node.random));
+    }
     if (node.dispatcher) {
         setConfiguration(*node.dispatcher, node.configuration);
     }
--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -1,7 +1,9 @@
 #include "core/dispatch/dispatcher.h"
 
+#include "core/dispatch/client_access.h"
 #include "core/dispatch/records.h"
 #include "core/dispatch/task_runs.h"
+#include "core/dispatch/tenant_state.h"
 #include "core/dispatch/worker_events.h"
 #include "core/log.h"
 
@@ -118,6 +120,7 @@
     job->submittedAt = now.monotonic - age;
     job->dueBy = job->submittedAt + timeUntilLate(record);
     const bool isTimed = record.spec.repeatCount > 0;
+    job->tenant = addTenant(dispatcher.tenants, record.tenant);
     job->record = std::move(record);
     if (!isTimed) {
         job->occurrences.push_back(makeOccurrence(job->record.spec, 0));
@@ -132,14 +135,30 @@
     logLine(LogLevel::Info, logPart, "Submission of a known job. job={} state={}", formatJobId(id), state);
 }
 
+/// Rejects a job that can't run at all, or not within its tenant's cap.
+bool rejectImpossible(Dispatcher &dispatcher, const ClientCall &call, const JobRecord &record)
+{
+    TenantState &tenant = dispatcher.tenants.rows[addTenant(dispatcher.tenants, record.tenant)];
+    std::string detail = findCapProblem(tenant, record.spec);
+    tenant.rejectedByCap += detail.empty() ? 0 : 1;
+    if (detail.empty() && isPossible(dispatcher, record)) {
+        return false;
+    }
+    ++dispatcher.counters.rejected;
+    logLine(LogLevel::Info, logPart, "Job rejected. job={} queue={} tenant={} reason={}", formatJobId(call.job),
+        call.queue, record.tenant, detail.empty() ? "no worker is large enough" : detail);
+    answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Impossible, .detail = std::move(detail)});
+    return true;
+}
+
 void submit(Dispatcher &dispatcher, const ClientCall &call, Now now)
 {
     if (const auto ended = dispatcher.jobs.ended.find(call.job); ended != dispatcher.jobs.ended.end()) {
-        if (ended->second == JobState::Withdrawn) {
+        if (ended->second.state == JobState::Withdrawn) {
             rejectJob(dispatcher, call, dispatcher.endRetention.kept, "cancelled before it was submitted");
             return;
         }
-        logRepeatedSubmission(call.job, ended->second ? stateName(*ended->second) : "unreadable");
+        logRepeatedSubmission(call.job, ended->second.state ? stateName(*ended->second.state) : "unreadable");
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok});
         return;
     }
@@ -169,18 +188,20 @@
         rejectJob(dispatcher, call, overloadRetryAfter, "store overloaded");
         return;
     }
-    if (!isPossible(dispatcher, *record)) {
-        ++dispatcher.counters.rejected;
-        logLine(LogLevel::Info, logPart, "Job rejected. job={} queue={} reason=no worker is large enough",
-            formatJobId(call.job), call.queue);
-        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Impossible});
+    if (rejectImpossible(dispatcher, call, *record)) {
+        return;
+    }
+    if (const auto retryAfter = applySubmissionRate(dispatcher, *record, now.monotonic)) {
+        rejectJob(dispatcher, call, *retryAfter, "tenant above its rate while the pool is full");
         return;
     }
+    // The record says whether the job is within the tenant's rate, so that a new leader goes by the same decision.
+    std::string text = record->isExcess ? encodeJobRecord(*record) : call.record;
     Job &job = addJob(dispatcher, std::move(*record), now);
     job.arrivedAt = now.monotonic;
     job.waitingSubmits.push_back(call.call);
     Commit commit{.tag = {.kind = CommitKind::Accept, .job = call.job},
-        .writes = {{.key = jobKey(call.job), .value = call.record}},
+        .writes = {{.key = jobKey(call.job), .value = std::move(text)}},
         .deletes = {},
         .queuedAt = now.monotonic};
     ++dispatcher.counters.commits;
@@ -226,10 +247,10 @@
 {
     const auto ended = dispatcher.jobs.ended.find(call.job);
     if (ended != dispatcher.jobs.ended.end()) {
-        if (ended->second == JobState::Withdrawn) {
+        if (ended->second.state == JobState::Withdrawn) {
             answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::NoSuchJob});
-        } else if (ended->second) {
-            reportEnd(dispatcher, call.call, call.job, *ended->second);
+        } else if (ended->second.state) {
+            reportEnd(dispatcher, call.call, call.job, *ended->second.state);
         } else {
             answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Unknown});
         }
@@ -260,12 +281,14 @@
     logLine(LogLevel::Info, logPart, "Cancellation of an unknown job. job={} queue={} token={}", formatJobId(call.job),
         call.queue, dispatcher.token);
     ++dispatcher.counters.jobsWithdrawn;
-    dispatcher.jobs.ended.emplace(call.job, JobState::Withdrawn);
+    const TenantSlot tenant = addTenant(dispatcher.tenants, call.tenant);
+    dispatcher.jobs.ended.emplace(call.job, EndedJob{.state = JobState::Withdrawn, .tenant = tenant});
     dispatcher.withdrawals[call.job].push_back(call.call);
     enqueue(dispatcher.commits,
         {.tag = {.kind = CommitKind::Withdraw, .job = call.job},
-            .writes
-            = {{.key = endKey(call.job), .value = encodeEnd({.state = JobState::Withdrawn, .endedAt = now.wall})}},
+            .writes = {{.key = endKey(call.job),
+                .value = encodeEnd(
+                    {.state = JobState::Withdrawn, .endedAt = now.wall, .tenant = call.tenant, .stopping = {}})}},
             .deletes = {},
             .queuedAt = now.monotonic});
 }
@@ -277,7 +300,7 @@
         return;
     }
     if (const auto ended = dispatcher.jobs.ended.find(call.job); ended != dispatcher.jobs.ended.end()) {
-        const bool existed = ended->second != JobState::Withdrawn;
+        const bool existed = ended->second.state != JobState::Withdrawn;
         answer(dispatcher, {.call = call.call, .outcome = existed ? ClientOutcome::Ok : ClientOutcome::NoSuchJob});
         return;
     }
@@ -352,7 +375,7 @@
         reportEnd(dispatcher, call, job.record.id, job.state);
     }
     const JobId id = job.record.id;
-    dispatcher.jobs.ended[id] = job.state;
+    dispatcher.jobs.ended[id] = {.state = job.state, .tenant = job.tenant};
     dispatcher.jobs.endedOrder.emplace(now, id);
     dispatcher.unstoredJobs.erase(id);
     dispatcher.jobs.live.erase(id);
@@ -531,6 +554,18 @@
             .queuedAt = now});
 }
 
+/// Name of the tenant that the job belongs to; empty if it has none or isn't known.
+std::string_view tenantOfJob(const Dispatcher &dispatcher, JobId id)
+{
+    TenantSlot tenant = noTenant;
+    if (const auto live = dispatcher.jobs.live.find(id); live != dispatcher.jobs.live.end()) {
+        tenant = live->second->tenant;
+    } else if (const auto ended = dispatcher.jobs.ended.find(id); ended != dispatcher.jobs.ended.end()) {
+        tenant = ended->second.tenant;
+    }
+    return dispatcher.tenants.rows[tenant].name;
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(Outbox &actions, std::uint64_t fencingToken, MonotonicTime confirmedAt, EndRetention ends)
@@ -551,6 +586,8 @@
 void setConfiguration(Dispatcher &dispatcher, const Configuration &configuration)
 {
     dispatcher.configuration = configuration;
+    configureTenants(
+        dispatcher.tenants, configuration.tenants ? *configuration.tenants : std::span<const TenantConfig>());
     dispatcher.placementDue = true;
 }
 
@@ -565,6 +602,13 @@
         dispatcher.deferredCalls.push_back(call);
         return;
     }
+    if (call.kind != ClientCallKind::CountPending
+        && !mayUseJob(call.isRestricted, call.tenant, tenantOfJob(dispatcher, call.job))) {
+        logLine(LogLevel::Info, logPart, "Call refused: the job belongs to another tenant. job={} tenant={} call={}",
+            formatJobId(call.job), call.tenant, static_cast<int>(call.kind));
+        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Forbidden});
+        return;
+    }
     switch (call.kind) {
     case ClientCallKind::Submit:
         submit(dispatcher, call, now);
@@ -617,6 +661,7 @@
         dispatcher.nextSupervision = now.monotonic + supervisionInterval;
         superviseWorkers(dispatcher, now);
         finishRunDiscovery(dispatcher, now.monotonic);
+        releaseStoppedRuns(dispatcher);
         startOccurrences(dispatcher, now);
         rejectUnsentJobs(dispatcher, now.monotonic);
         removeEndedRecords(dispatcher, now.monotonic);
@@ -657,6 +702,7 @@
     Job &job = addJob(dispatcher, record, now);
     job.accepted = true;
     job.inherited = true;
+    countInheritedSubmission(dispatcher, job, now.monotonic);
     if (progress.empty()) {
         return;
     }
@@ -672,12 +718,19 @@
 }
 
 void inheritEnd(
-    Dispatcher &dispatcher, JobId id, std::optional<JobState> state, std::uint64_t revision, MonotonicTime now)
+    Dispatcher &dispatcher, JobId id, const std::optional<EndRecord> &record, std::uint64_t revision, MonotonicTime now)
 {
-    if (dispatcher.jobs.live.contains(id) || !dispatcher.jobs.ended.try_emplace(id, state).second) {
+    EndedJob ended;
+    if (record) {
+        ended = {.state = record->state, .tenant = addTenant(dispatcher.tenants, record->tenant)};
+    }
+    if (dispatcher.jobs.live.contains(id) || !dispatcher.jobs.ended.try_emplace(id, ended).second) {
         return;
     }
     dispatcher.jobs.endedOrder.emplace(provenSince(dispatcher.endRetention, revision, now), id);
+    if (record) {
+        countStoppingRuns(dispatcher, id, ended.tenant, record->stopping);
+    }
 }
 
 MonotonicTime formerLeasesEndBy(const Dispatcher &dispatcher, const Worker &worker)
@@ -705,6 +758,7 @@
         = workers.empty() ? now >= formerLeasesEndBy(dispatcher, {}) : std::ranges::all_of(workers, isResolved);
     if (resolved) {
         dispatcher.runDiscoveryFinished = true;
+        countRunsNotFound(dispatcher);
         dispatcher.placementDue = true;
         for (Worker &worker : dispatcher.workers.workers) {
             worker.inherited = false;
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -82,6 +82,13 @@
     bool readingEnd = false;
 };
 
+/// Runs of an ended job that a former leader was stopping.
+struct FormerRuns
+{
+    TenantSlot tenant = noTenant;
+    Resources size;
+};
+
 /// A query of a running job that is answered once the job's end is stored.
 struct WaitingQuery
 {
@@ -119,8 +126,12 @@
 /// Place of a step in the order in which steps are placed.
 struct PlacementPosition
 {
-    /// Steps with a lower rank are placed first.
+    /// Steps within their tenant's rate are placed first,
+    bool isExcess = false;
+    /// then those with a lower rank,
     int rank = 0;
+    /// then those of tenants below their fair share, which matters only while the workers are full.
+    bool isAboveShare = false;
     MonotonicTime dueBy{};
     StepKey key;
 
@@ -140,6 +151,9 @@
     Configuration configuration;
     JobTable jobs;
     WorkerTable workers;
+    TenantTable tenants;
+    /// What former leaders were stopping of ended jobs, until no worker has a run of the job.
+    absl::flat_hash_map<JobId, FormerRuns> stoppingRuns;
     Advisor advisor;
     CommitQueue commits;
     EndRetention endRetention;
@@ -223,10 +237,10 @@
 /// Add jobs, workers and ends of a former leader from the store. The runs are read from the workers' lists.
 void inheritJob(Dispatcher &dispatcher, const JobRecord &record, std::string_view progress, Now now);
 void inheritWorkers(Dispatcher &dispatcher, std::span<const WorkerEntry> entries);
-/// `revision` is the store's revision at which the record was written. Without a state if the record can't be read: its
-/// key still proves that the id was used.
-void inheritEnd(
-    Dispatcher &dispatcher, JobId id, std::optional<JobState> state, std::uint64_t revision, MonotonicTime now);
+/// `revision` is the store's revision at which the record was written. Without a record if it can't be read: its key
+/// still proves that the id was used.
+void inheritEnd(Dispatcher &dispatcher, JobId id, const std::optional<EndRecord> &record, std::uint64_t revision,
+    MonotonicTime now);
 
 /// Time by which the leases that former leaders requested of a worker have ended if this leader has not contacted it.
 MonotonicTime formerLeasesEndBy(const Dispatcher &dispatcher, const Worker &worker);
--- a/core/dispatch/job_spec.h
+++ b/core/dispatch/job_spec.h
@@ -108,6 +108,10 @@
     QueueConfig queue;
     WallTime submittedAt{};
     JobSpec spec;
+    /// Name of the tenant that submitted the job; empty for none. It stays the same if the operator removes the tenant.
+    std::string tenant;
+    /// The tenant had exceeded its rate of submissions: the job waits behind all work within the rates.
+    bool isExcess = false;
 };
 
 /// Describes the first error of the specification; empty if it is valid.
--- a/core/dispatch/job_table.h
+++ b/core/dispatch/job_table.h
@@ -99,6 +99,7 @@
 struct Job
 {
     JobRecord record;
+    TenantSlot tenant = noTenant;
     /// The store has confirmed the record.
     bool accepted = false;
     /// Read from the store by a new leader. Workers that this leader has not contacted yet may have runs of the job.
@@ -137,12 +138,18 @@
     return state == JobState::Done || state == JobState::Failed || state == JobState::Cancelled;
 }
 
+/// What is known of a job after its end. Without a state if the record of the end can't be read.
+struct EndedJob
+{
+    std::optional<JobState> state;
+    TenantSlot tenant = noTenant;
+};
+
 struct JobTable
 {
     absl::flat_hash_map<JobId, std::unique_ptr<Job>> live;
-    /// Ended jobs, kept to answer queries of clients and to reject copies of their submissions. Without a state if the
-    /// record of the end can't be read.
-    absl::flat_hash_map<JobId, std::optional<JobState>> ended;
+    /// Ended jobs, kept to answer queries of clients and to reject copies of their submissions.
+    absl::flat_hash_map<JobId, EndedJob> ended;
     /// Ended jobs by the time since which their records are proven to be stored; the oldest are removed first.
     std::set<std::pair<MonotonicTime, JobId>> endedOrder;
 };
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -468,7 +468,7 @@
         logLine(LogLevel::Error, logPart, "The record of an ended job can't be read. key={}", item.key);
     }
     if (id) {
-        inheritEnd(*node.dispatcher, *id, record ? std::optional(record->state) : std::nullopt, item.revision, now);
+        inheritEnd(*node.dispatcher, *id, record, item.revision, now);
     }
 }
 
--- a/core/dispatch/messages.h
+++ b/core/dispatch/messages.h
@@ -323,6 +323,10 @@
     JobId job = 0;
     /// Encoded JobRecord of a submission.
     std::string record;
+    /// Tenant whose key the call carries; empty for none.
+    std::string tenant;
+    /// The call may only use jobs of this tenant.
+    bool isRestricted = false;
     /// Longest time for which a query of a running job may wait for the job's end. 0: it is answered at once.
     milliseconds wait{0};
 };
@@ -333,12 +337,14 @@
     NoSuchJob,
     /// Not accepted; this call will not be accepted later either.
     Refused,
-    /// The job can't run on any worker.
+    /// The job can't run on any worker, or not within its tenant's cap.
     Impossible,
     /// The outcome was not known in time; the client may query it later.
     Unknown,
     /// This daemon doesn't lead; the caller has to send the call to the leader.
     NotLeader,
+    /// The job belongs to another tenant.
+    Forbidden,
 };
 
 enum class JobState : std::uint8_t {
@@ -359,6 +365,8 @@
     JobState state = JobState::Queued;
     std::uint64_t count = 0;
     milliseconds retryAfter{0};
+    /// Reason of a rejection, for the client; empty for the usual text.
+    std::string detail;
 };
 
 } // namespace wigeonkeel::dispatch
--- a/core/dispatch/outbox.cpp
+++ b/core/dispatch/outbox.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t workerId = 20;
 /// A queue in a transferred configuration.
 constexpr std::size_t queueSize = 150;
+/// A tenant in a transferred configuration, and each of its keys.
+constexpr std::size_t tenantSize = 80;
+constexpr std::size_t keySize = 32;
 
 std::size_t base64Size(std::size_t bytes)
 {
@@ -68,7 +71,11 @@
         return frame + order->request.workers.size() * workerId;
     }
     if (const auto *transfer = std::get_if<ConfigurationTransfer>(&body)) {
-        return frame + transfer->configuration.queues.size() * queueSize;
+        std::size_t size = frame + transfer->configuration.queues.size() * queueSize;
+        for (const TenantConfig &tenant : transfer->configuration.tenants.value_or(std::vector<TenantConfig>{})) {
+            size += tenantSize + tenant.keys.size() * keySize;
+        }
+        return size;
     }
     return frame;
 }
--- a/core/dispatch/placement/advice_requests.cpp
+++ b/core/dispatch/placement/advice_requests.cpp
@@ -3,6 +3,7 @@
 #include "core/dispatch/placement/preemption.h"
 #include "core/dispatch/placement/worker_room.h"
 #include "core/dispatch/task_runs.h"
+#include "core/dispatch/tenant_state.h"
 #include "core/log.h"
 
 #include <algorithm>
@@ -50,6 +51,7 @@
     const auto expectedTime = times.base + times.perWorker * static_cast<int>(workers.size());
     dispatcher.advisor.waiting.push_back({.step = ready.key,
         .workers = std::move(workers),
+        .isExcess = ready.job->record.isExcess,
         .priority = static_cast<std::uint32_t>(ready.rank),
         .dueBy = ready.dueBy,
         .expectedTime = expectedTime,
@@ -89,7 +91,8 @@
 std::size_t adviceWorkerCount(const Dispatcher &dispatcher, const ReadyStep &ready)
 {
     const double share = std::max(minAllowedShare, allowedShare(dispatcher.advisor, ready.queue->name));
-    const double wanted = static_cast<double>(ready.step->waiting) * adviceSurplus / share;
+    const std::uint32_t tasks = startsWithinCap(dispatcher, *ready.job, *ready.spec, ready.step->waiting);
+    const double wanted = static_cast<double>(tasks) * adviceSurplus / share;
     return std::max(minAdviceWorkers, static_cast<std::size_t>(wanted) + 1);
 }
 
--- a/core/dispatch/placement/gang_placement.cpp
+++ b/core/dispatch/placement/gang_placement.cpp
@@ -85,7 +85,7 @@
     }
     if (!ready.step->plan.empty()) {
         if (!isPlanValid(dispatcher, ready, now)) {
-            dropPlan(dispatcher, *ready.spec, *ready.step);
+            dropPlan(dispatcher, *ready.job, *ready.spec, *ready.step);
         } else {
             const bool tickets = renewPlannedTickets(dispatcher, ready, now, now);
             const bool free = std::ranges::all_of(ready.step->plan,
--- a/core/dispatch/placement/place_plans.cpp
+++ b/core/dispatch/placement/place_plans.cpp
@@ -21,6 +21,7 @@
     const bool hadPlan = !ready.step->plan.empty();
     for (const PlannedPlace &planned : plan) {
         dispatcher.workers.workers[planned.worker].reserved += chargedSize(*ready.spec);
+        dispatcher.tenants.rows[ready.job->tenant].planned += chargedSize(*ready.spec);
         ready.step->plan.push_back(planned);
     }
     ready.step->planUntil = hadPlan ? std::max(ready.step->planUntil, until) : until;
@@ -45,11 +46,14 @@
 
 bool isPlanValid(const Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
 {
-    return now < ready.step->planUntil && std::ranges::all_of(ready.step->plan, [&](const PlannedPlace &planned) {
-        return canAcceptStarts(dispatcher.workers.workers[planned.worker], now) && isAllowed(ready, planned.worker)
-            && ready.step->tasks[planned.task].phase == TaskPhase::Waiting
-            && ready.step->tasks[planned.task].unknownRuns == 0;
-    });
+    // The cap may have been lowered since.
+    const bool isAllowedByTenant = isWithinCap(dispatcher.tenants.rows[ready.job->tenant]);
+    return isAllowedByTenant && now < ready.step->planUntil
+        && std::ranges::all_of(ready.step->plan, [&](const PlannedPlace &planned) {
+               return canAcceptStarts(dispatcher.workers.workers[planned.worker], now)
+                   && isAllowed(ready, planned.worker) && ready.step->tasks[planned.task].phase == TaskPhase::Waiting
+                   && ready.step->tasks[planned.task].unknownRuns == 0;
+           });
 }
 
 bool renewPlannedTickets(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now, MonotonicTime usedAt)
@@ -77,7 +81,7 @@
 void startPlan(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
 {
     const std::vector<PlannedPlace> plan = ready.step->plan;
-    dropPlan(dispatcher, *ready.spec, *ready.step);
+    dropPlan(dispatcher, *ready.job, *ready.spec, *ready.step);
     if (ready.spec->gang) {
         std::uint32_t attempt = ready.step->gangAttempt;
         for (const Task &task : ready.step->tasks) {
@@ -98,7 +102,7 @@
         return;
     }
     if (!isPlanValid(dispatcher, ready, now)) {
-        dropPlan(dispatcher, *ready.spec, *ready.step);
+        dropPlan(dispatcher, *ready.job, *ready.spec, *ready.step);
         return;
     }
     renewPlannedTickets(dispatcher, ready, now, now);
@@ -112,6 +116,7 @@
             continue;
         }
         worker.reserved -= size;
+        dispatcher.tenants.rows[ready.job->tenant].planned -= size;
         startTask(
             dispatcher, placeOf(ready, planned.task), {.step = ready.key, .index = planned.task}, planned.worker, now);
     }
--- a/core/dispatch/placement/placement_pass.cpp
+++ b/core/dispatch/placement/placement_pass.cpp
@@ -4,6 +4,7 @@
 #include "core/dispatch/placement/gang_placement.h"
 #include "core/dispatch/placement/single_placement.h"
 #include "core/dispatch/placement/worker_room.h"
+#include "core/dispatch/tenant_state.h"
 
 #include <absl/container/flat_hash_set.h>
 
@@ -68,7 +69,7 @@
         return false;
     }
     step->adviceOpen = false;
-    if (!hasReadyTasks(*step, now)) {
+    if (!hasReadyTasks(*step, now) || isHeldByCap(dispatcher, *job, job->record.spec.steps[request.step.step], *step)) {
         return false;
     }
     ReadyStep ready = readyStepOf(dispatcher, *job, request.step, *step, now);
@@ -92,6 +93,8 @@
     BlockedNeeds needs;
     /// Number of examined steps that found no room.
     std::size_t blocked = 0;
+    /// By tenant: whether its cap held a step back.
+    std::vector<bool> heldByCap;
 };
 
 PlacementNeed needOf(const ReadyStep &ready)
@@ -111,6 +114,11 @@
 
 void examineStep(Dispatcher &dispatcher, PlacementPass &pass, const ReadyStep &ready, MonotonicTime now)
 {
+    // Such a step doesn't count as blocked: many of one tenant must not end the pass before the steps of others.
+    if (isHeldByCap(dispatcher, *ready.job, *ready.spec, *ready.step)) {
+        pass.heldByCap[ready.job->tenant] = true;
+        return;
+    }
     if (awaitsAdvice(dispatcher, ready, now)) {
         return;
     }
@@ -193,12 +201,16 @@
         return;
     }
     refill(dispatcher.outbox->link, now);
+    if (!dispatcher.runDiscoveryFinished) {
+        countRunsNotFound(dispatcher);
+    }
     const std::vector<ReadyStep> steps = readySteps(dispatcher, now);
-    PlacementPass pass;
+    PlacementPass pass{.needs = {}, .heldByCap = std::vector<bool>(dispatcher.tenants.rows.size(), false)};
     const std::size_t next = examineSteps(dispatcher, pass, steps, 0, maxBlockedSteps, now);
     if (next < steps.size()) {
         examineStepsInTurn(dispatcher, pass, std::span(steps).subspan(next), now);
     }
+    updateHeldTenants(dispatcher, pass.heldByCap);
     // A step that finds no room examines every worker. The time between passes limits them to a fifth of a core.
     const auto spacing = timePerExaminedWorker * static_cast<int>(pass.blocked * dispatcher.workers.workers.size())
         + timePerReadyStep * static_cast<int>(steps.size());
--- a/core/dispatch/placement/preemption.cpp
+++ b/core/dispatch/placement/preemption.cpp
@@ -20,11 +20,19 @@
 /// A run without checkpoints may be pre-empted only this long after its start, to limit the work that is lost.
 constexpr milliseconds maxLostWork{1200};
 
-/// Compares the configured priorities of the queues, not the ranks. A job that is late never pre-empts others.
+/// Compares the configured priorities of the queues, not the ranks. Work beyond its tenant's rate gives way to all work
+/// within the rates of the same priority, and never pre-empts, so that two runs can't pre-empt each other in turn.
+bool isLessUrgent(const Run &run, const ReadyStep &ready)
+{
+    const std::uint32_t priority = ready.queue->priority;
+    return !ready.job->record.isExcess && (run.isExcess ? run.priority >= priority : run.priority > priority);
+}
+
+/// A job that is late never pre-empts others.
 bool canPreempt(const ReadyStep &ready, const Run &run, MonotonicTime now)
 {
-    return run.phase == RunPhase::Running && run.preemptible && run.priority > ready.queue->priority
-        && ready.rank < lateRank && (run.checkpointed || (run.startedAt && now - *run.startedAt < maxLostWork));
+    return run.phase == RunPhase::Running && run.preemptible && isLessUrgent(run, ready) && ready.rank < lateRank
+        && (run.checkpointed || (run.startedAt && now - *run.startedAt < maxLostWork));
 }
 
 } // namespace
--- a/core/dispatch/placement/single_placement.cpp
+++ b/core/dispatch/placement/single_placement.cpp
@@ -4,6 +4,7 @@
 #include "core/dispatch/placement/place_plans.h"
 #include "core/dispatch/placement/preemption.h"
 #include "core/dispatch/placement/worker_room.h"
+#include "core/dispatch/tenant_state.h"
 
 #include <algorithm>
 #include <span>
@@ -80,7 +81,8 @@
     std::vector<Resources> room = roomOfWorkers(dispatcher);
     std::vector<WorkerSlot> expired;
     bool noRoom = false;
-    for (std::uint32_t index = 0; index < ready.step->tasks.size(); ++index) {
+    std::uint32_t allowedByCap = startsWithinCap(dispatcher, *ready.job, *ready.spec, ready.step->waiting);
+    for (std::uint32_t index = 0; index < ready.step->tasks.size() && allowedByCap > 0; ++index) {
         if (!canStart(index)) {
             continue;
         }
@@ -90,6 +92,7 @@
             break;
         }
         room[found.slot] -= chargedSize(*ready.spec);
+        --allowedByCap;
         if (!found.hasTicket) {
             if (ready.isAdviceNext) {
                 // Without the reservation, all waiting steps would renew tickets for the same room, and all but one of
@@ -112,10 +115,14 @@
     if (!noRoom || (needsTicket(ready) && requestMoreAdvice(dispatcher, ready, now))) {
         return false;
     }
-    for (std::uint32_t index = 0; index < ready.step->tasks.size(); ++index) {
-        if (canStart(index) && !preemptForOne(dispatcher, ready, index, now)) {
+    for (std::uint32_t index = 0; index < ready.step->tasks.size() && allowedByCap > 0; ++index) {
+        if (!canStart(index)) {
+            continue;
+        }
+        if (!preemptForOne(dispatcher, ready, index, now)) {
             return true;
         }
+        --allowedByCap;
     }
     return false;
 }
--- a/core/dispatch/placement/step_order.cpp
+++ b/core/dispatch/placement/step_order.cpp
@@ -1,8 +1,10 @@
 #include "core/dispatch/placement/step_order.h"
 
 #include "core/dispatch/task_runs.h"
+#include "core/tenants/fair_share.h"
 
 #include <algorithm>
+#include <span>
 
 namespace wigeonkeel::dispatch
 {
@@ -63,7 +65,11 @@
 
 PlacementPosition positionOf(const ReadyStep &ready)
 {
-    return {.rank = ready.rank, .dueBy = ready.dueBy, .key = ready.key};
+    return {.isExcess = ready.job->record.isExcess,
+        .rank = ready.rank,
+        .isAboveShare = ready.isAboveShare,
+        .dueBy = ready.dueBy,
+        .key = ready.key};
 }
 
 namespace
@@ -82,16 +88,51 @@
     }
 }
 
+/// Counts the jobs beyond their tenants' rates that have not started.
+void countWaitingExcess(Dispatcher &dispatcher)
+{
+    for (TenantState &tenant : dispatcher.tenants.rows) {
+        tenant.waitingExcess = 0;
+    }
+    for (const auto &[id, job] : dispatcher.jobs.live) {
+        if (job->record.isExcess && !job->started && !isEnded(job->state)) {
+            ++dispatcher.tenants.rows[job->tenant].waitingExcess;
+        }
+    }
+}
+
+void markStepsAboveShare(const Dispatcher &dispatcher, std::span<ReadyStep> ready)
+{
+    if (!dispatcher.configuration.tenants) {
+        return;
+    }
+    Resources capacity;
+    for (const Worker &worker : dispatcher.workers.workers) {
+        capacity += worker.listed ? worker.entry.capacity : Resources{};
+    }
+    std::vector<TenantSlot> waiting;
+    waiting.reserve(ready.size());
+    for (const ReadyStep &step : ready) {
+        waiting.push_back(step.job->tenant);
+    }
+    const std::vector<bool> above = tenantsAboveShare(dispatcher.tenants, waiting, capacity);
+    for (ReadyStep &step : ready) {
+        step.isAboveShare = above[step.job->tenant];
+    }
+}
+
 } // namespace
 
 std::vector<ReadyStep> readySteps(Dispatcher &dispatcher, MonotonicTime now)
 {
     std::vector<ReadyStep> ready;
+    countWaitingExcess(dispatcher);
     for (auto &[id, job] : dispatcher.jobs.live) {
         if (job->accepted && !isEnded(job->state) && (!job->inherited || dispatcher.runDiscoveryFinished)) {
             addReadySteps(dispatcher, *job, now, ready);
         }
     }
+    markStepsAboveShare(dispatcher, ready);
     std::ranges::sort(ready, {}, positionOf);
     return ready;
 }
--- a/core/dispatch/placement/step_order.h
+++ b/core/dispatch/placement/step_order.h
@@ -19,6 +19,8 @@
     StepRun *step = nullptr;
     const QueueConfig *queue = nullptr;
     int rank = 0;
+    /// The tenant's runs take more than its fair share.
+    bool isAboveShare = false;
     MonotonicTime dueBy{};
     /// An advice request of the step is sent now, without a wait in the line.
     bool isAdviceNext = false;
@@ -35,7 +37,7 @@
 /// Place of the step in the order of placement.
 PlacementPosition positionOf(const ReadyStep &ready);
 
-/// All steps with tasks that may start now, most urgent first.
+/// All steps with tasks that may start now, in the order of placement.
 std::vector<ReadyStep> readySteps(Dispatcher &dispatcher, MonotonicTime now);
 
 } // namespace wigeonkeel::dispatch
--- a/core/dispatch/records.cpp
+++ b/core/dispatch/records.cpp
@@ -228,6 +228,12 @@
     Json json = {{"id", formatJobId(record.id)}, {"queue", toJson(record.queue)},
         {"at", record.submittedAt.time_since_epoch().count()}, {"payload", record.spec.payload},
         {"steps", std::move(steps)}};
+    if (!record.tenant.empty()) {
+        json["tenant"] = record.tenant;
+    }
+    if (record.isExcess) {
+        json["excess"] = true;
+    }
     if (record.spec.repeatCount != 0) {
         json["repeat"]
             = {record.spec.repeatCount, record.spec.firstDue.time_since_epoch().count(), record.spec.interval.count()};
@@ -246,7 +252,9 @@
         JobRecord record{.id = *id,
             .queue = queueFromJson(json.at("queue")),
             .submittedAt = WallTime(readMillis(json.at("at"), "at", clockRange)),
-            .spec = {.payload = json.at("payload").get<std::string>()}};
+            .spec = {.payload = json.at("payload").get<std::string>()},
+            .tenant = json.value("tenant", std::string()),
+            .isExcess = json.value("excess", false)};
         for (const Json &step : json.at("steps")) {
             record.spec.steps.push_back(stepFromJson(step));
         }
@@ -330,20 +338,45 @@
 
 std::string encodeEnd(const EndRecord &record)
 {
-    return fmt::format("{} {}", stateName(record.state), record.endedAt.time_since_epoch().count());
+    const std::string text = fmt::format("{} {}", stateName(record.state), record.endedAt.time_since_epoch().count());
+    if (record.tenant.empty()) {
+        return text;
+    }
+    // The name comes last, because it may contain spaces.
+    return fmt::format("{} {} {} {} {}", text, record.stopping.cpuMilli, record.stopping.memoryMib,
+        record.stopping.accelerators, record.tenant);
 }
 
 std::optional<EndRecord> decodeEnd(std::string_view text)
 {
-    const std::size_t space = text.find(' ');
-    const auto found
-        = std::ranges::find(endTexts, text.substr(0, space), &std::pair<JobState, std::string_view>::second);
-    const auto endedAt
-        = space == std::string_view::npos ? std::nullopt : parseInteger<std::int64_t>(text.substr(space + 1));
-    if (found == endTexts.end() || !endedAt || *endedAt < clockRange.least || *endedAt > clockRange.most) {
+    const auto takeWord = [&text] {
+        const std::size_t space = text.find(' ');
+        const std::string_view word = text.substr(0, space);
+        text = space == std::string_view::npos ? std::string_view() : text.substr(space + 1);
+        return word;
+    };
+    const auto takeNumber = [&takeWord](IntegerRange range) -> std::optional<std::int64_t> {
+        const auto number = parseInteger<std::int64_t>(takeWord());
+        return number && *number >= range.least && *number <= range.most ? number : std::nullopt;
+    };
+    const auto found = std::ranges::find(endTexts, takeWord(), &std::pair<JobState, std::string_view>::second);
+    const auto endedAt = takeNumber(clockRange);
+    if (found == endTexts.end() || !endedAt) {
+        return std::nullopt;
+    }
+    EndRecord record{.state = found->first, .endedAt = WallTime(milliseconds(*endedAt)), .tenant = {}};
+    if (text.empty()) {
+        return record;
+    }
+    const auto cpu = takeNumber(tenantCapRange);
+    const auto memory = takeNumber(tenantCapRange);
+    const auto accelerators = takeNumber(tenantCapRange);
+    if (!cpu || !memory || !accelerators || text.empty()) {
         return std::nullopt;
     }
-    return EndRecord{.state = found->first, .endedAt = WallTime(milliseconds(*endedAt))};
+    record.stopping = {.cpuMilli = *cpu, .memoryMib = *memory, .accelerators = *accelerators};
+    record.tenant = std::string(text);
+    return record;
 }
 
 } // namespace wigeonkeel::dispatch
--- a/core/dispatch/records.h
+++ b/core/dispatch/records.h
@@ -42,6 +42,10 @@
 {
     JobState state = JobState::Failed;
     WallTime endedAt{};
+    /// Empty for a job without a tenant.
+    std::string tenant;
+    /// Runs of the job that were being stopped at its end; they count against the tenant's cap.
+    Resources stopping;
 };
 
 /// "done", "failed", "cancelled" or "withdrawn".
--- a/core/dispatch/task_runs.cpp
+++ b/core/dispatch/task_runs.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/task_runs.h"
 
 #include "core/dispatch/records.h"
+#include "core/dispatch/tenant_state.h"
 #include "core/log.h"
 
 #include <algorithm>
@@ -74,7 +75,7 @@
 {
     Job &job = *place.job;
     Occurrence *occurrence = findOccurrence(job, key.occurrence);
-    dropPlan(dispatcher, *place.spec, *place.step);
+    dropPlan(dispatcher, *place.job, *place.spec, *place.step);
     place.step->allowed.clear();
     if (--occurrence->stepsLeft > 0) {
         openSteps(job.record.spec, *occurrence);
@@ -159,9 +160,12 @@
 Run makeRun(const Dispatcher &dispatcher, const TaskPlace &place, MonotonicTime now)
 {
     return {.size = chargedSize(*place.spec),
+        .tenant = place.job->tenant,
+        .tenantSize = chargedSize(*place.spec),
         .orderedAt = now,
         .priority = queueOf(dispatcher, *place.job).priority,
         .preemptible = !place.spec->gang && !place.spec->longRunning,
+        .isExcess = place.job->record.isExcess,
         .checkpointed = place.spec->checkpointed,
         .startedAt = now};
 }
@@ -190,7 +194,7 @@
     Run run = makeRun(dispatcher, place, now);
     run.attempt = task.attempt;
     run.latestStart = workerClockNow(worker, now) + startWindow;
-    chargeRun(worker, key, run);
+    chargeRun(worker, dispatcher.tenants, key, run);
     sendStart(dispatcher, slot, key, worker.runs[key], place);
     // A worker that was idle gets a renewal soon; the lease that came with the start lasts longer than the delay.
     worker.nextRenewal = std::min(worker.nextRenewal, now + firstRenewalDelay);
@@ -286,7 +290,7 @@
 void removeRun(Dispatcher &dispatcher, Worker &worker, const TaskKey &key)
 {
     const bool wasUnknown = worker.runs.at(key).unknown;
-    releaseRun(worker, key);
+    releaseRun(worker, dispatcher.tenants, key);
     dispatcher.placementDue = true;
     const TaskPlace place = findTask(dispatcher, key);
     // A run that was listed before its task existed was not counted.
@@ -385,10 +389,11 @@
     }
 }
 
-void dropPlan(Dispatcher &dispatcher, const StepSpec &spec, StepRun &step)
+void dropPlan(Dispatcher &dispatcher, const Job &job, const StepSpec &spec, StepRun &step)
 {
     for (const PlannedPlace &planned : step.plan) {
         dispatcher.workers.workers[planned.worker].reserved -= chargedSize(spec);
+        dispatcher.tenants.rows[job.tenant].planned -= chargedSize(spec);
     }
     step.plan.clear();
 }
@@ -401,7 +406,7 @@
     for (Occurrence &occurrence : job.occurrences) {
         for (std::uint32_t number = 0; number < occurrence.steps.size(); ++number) {
             StepRun &step = occurrence.steps[number];
-            dropPlan(dispatcher, job.record.spec.steps[number], step);
+            dropPlan(dispatcher, job, job.record.spec.steps[number], step);
             stopAssigned(dispatcher, step, {.job = job.record.id, .occurrence = occurrence.number, .step = number},
                 now.monotonic);
         }
@@ -430,7 +435,11 @@
         .tag = {.kind = CommitKind::Progress, .job = id}, .writes = {}, .deletes = {}, .queuedAt = now.monotonic};
     if (isEnded(job.state)) {
         commit.tag.kind = CommitKind::End;
-        commit.writes.push_back({.key = endKey(id), .value = encodeEnd({.state = job.state, .endedAt = now.wall})});
+        commit.writes.push_back({.key = endKey(id),
+            .value = encodeEnd({.state = job.state,
+                .endedAt = now.wall,
+                .tenant = job.record.tenant,
+                .stopping = chargedRuns(dispatcher, job)})});
         commit.deletes.push_back(jobKey(id));
         if (job.progressStored) {
             commit.deletes.push_back(progressKey(id));
--- a/core/dispatch/task_runs.h
+++ b/core/dispatch/task_runs.h
@@ -45,7 +45,7 @@
 void endJob(Dispatcher &dispatcher, Job &job, JobState state, Now now);
 
 /// Discards a step's plan and releases the room that is reserved for it.
-void dropPlan(Dispatcher &dispatcher, const StepSpec &spec, StepRun &step);
+void dropPlan(Dispatcher &dispatcher, const Job &job, const StepSpec &spec, StepRun &step);
 
 /// Queues the job's record of progress, or of its end, unless one is under way.
 void queueJobCommits(Dispatcher &dispatcher, Job &job, Now now);
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -290,15 +290,18 @@
 void stopUnknownRun(Dispatcher &dispatcher, WorkerSlot slot, const RunningTask &running, MonotonicTime now)
 {
     Worker &worker = dispatcher.workers.workers[slot];
-    chargeRun(worker, running.task,
+    const TaskPlace place = findTask(dispatcher, running.task);
+    chargeRun(worker, dispatcher.tenants, running.task,
         {.attempt = running.attempt,
             .size = {},
+            .tenant = place ? place.job->tenant : noTenant,
+            .tenantSize = place ? chargedSize(*place.spec) : Resources{},
             .phase = RunPhase::Running,
             .seenAt = now,
             .confirmed = true,
             .listed = true,
             .unknown = true});
-    if (const TaskPlace place = findTask(dispatcher, running.task)) {
+    if (place) {
         ++place.task->unknownRuns;
     }
     stopRun(dispatcher, slot, running.task, now);
@@ -332,7 +335,7 @@
     run.confirmed = true;
     run.listed = true;
     run.startedAt.reset();
-    chargeRun(worker, running.task, run);
+    chargeRun(worker, dispatcher.tenants, running.task, run);
     logLine(LogLevel::Info, logPart, "Run taken over. task={} attempt={} worker={} token={}",
         formatTaskKey(running.task), running.attempt, worker.entry.id, dispatcher.token);
 }
--- a/core/dispatch/worker_table.cpp
+++ b/core/dispatch/worker_table.cpp
@@ -82,18 +82,20 @@
     return std::max(now, worker.renewalAnsweredAt + (urgent ? urgentRenewalDelay : regularRenewalDelay));
 }
 
-void chargeRun(Worker &worker, const TaskKey &task, const Run &run)
+void chargeRun(Worker &worker, TenantTable &tenants, const TaskKey &task, const Run &run)
 {
     worker.runs[task] = run;
     worker.used += run.size;
+    tenants.rows[run.tenant].running += run.tenantSize;
     worker.unknownRuns += run.unknown ? 1 : 0;
 }
 
-void releaseRun(Worker &worker, const TaskKey &task)
+void releaseRun(Worker &worker, TenantTable &tenants, const TaskKey &task)
 {
     const auto found = worker.runs.find(task);
     if (found != worker.runs.end()) {
         worker.used -= found->second.size;
+        tenants.rows[found->second.tenant].running -= found->second.tenantSize;
         worker.unknownRuns -= found->second.unknown ? 1 : 0;
         worker.runs.erase(found);
     }
--- a/core/dispatch/worker_table.h
+++ b/core/dispatch/worker_table.h
@@ -2,6 +2,7 @@
 
 #include "core/dispatch/messages.h"
 #include "core/dispatch/worker_health.h"
+#include "core/tenants/tenant_table.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -31,6 +32,9 @@
 {
     std::uint32_t attempt = 0;
     Resources size;
+    TenantSlot tenant = noTenant;
+    /// What the run counts for against its tenant's cap. Differs from `size` for unknown runs.
+    Resources tenantSize;
     RunPhase phase = RunPhase::Starting;
     /// By the worker's clock. The worker refuses a start that arrives later.
     WorkerTime latestStart{};
@@ -49,6 +53,8 @@
     std::uint32_t priority = 0;
     /// Whether the run may be stopped for a more urgent task; false for gangs and long-running tasks.
     bool preemptible = false;
+    /// Its job was submitted beyond the tenant's rate.
+    bool isExcess = false;
     bool checkpointed = false;
     /// Empty if a former leader started the run: it may have worked for any time.
     std::optional<MonotonicTime> startedAt;
@@ -156,8 +162,9 @@
 /// ends of less urgent tasks are collected into fewer renewals, while those of urgent tasks are fetched soon.
 MonotonicTime nextRenewalAfterEnds(const Worker &worker, MonotonicTime now);
 
-void chargeRun(Worker &worker, const TaskKey &task, const Run &run);
-void releaseRun(Worker &worker, const TaskKey &task);
+/// Charge the run to the worker and to its tenant, and take the charge back.
+void chargeRun(Worker &worker, TenantTable &tenants, const TaskKey &task, const Run &run);
+void releaseRun(Worker &worker, TenantTable &tenants, const TaskKey &task);
 
 /// Removes the leading ends that are stored, and returns the number up to which ends may be acknowledged.
 std::uint64_t advanceAcknowledged(Worker &worker);
--- a/core/json_text.h
+++ b/core/json_text.h
@@ -33,6 +33,8 @@
 inline constexpr IntegerRange numberRange{.least = 0, .most = INT64_MAX};
 /// Amounts of a resource: sums over all workers stay far below 2^63.
 inline constexpr IntegerRange amountRange{.least = 0, .most = std::int64_t{1} << 40};
+/// Limits that an operator sets on amounts; up to 2^53, all whole numbers of other JSON writers are exact.
+inline constexpr IntegerRange tenantCapRange{.least = 0, .most = std::int64_t{1} << 53};
 /// 2^40 ms are 34 years; as nanoseconds of a monotonic clock, a few of them can still be added.
 inline constexpr IntegerRange durationRange{.least = 0, .most = std::int64_t{1} << 40};
 /// Unix milliseconds up to the end of the year 9999, and clocks that count milliseconds from a start.
--- a/core/resources.h
+++ b/core/resources.h
@@ -54,6 +54,9 @@
     return amount.cpuMilli < 0 || amount.memoryMib < 0 || amount.accelerators < 0 || amount.slots < 0;
 }
 
+/// Largest share of any resource that the amount has of the capacity.
+double dominantShare(const Resources &amount, const Resources &capacity);
+
 /// For messages: "1500m cpu, 512 MiB, 0 accelerators, 1 slots".
 std::string describe(const Resources &amount);
 
--- a/drivers/cluster_protocol/cluster_codec.cpp
+++ b/drivers/cluster_protocol/cluster_codec.cpp
@@ -61,7 +61,7 @@
     const auto offset = wire::CreateCall(builder, call.call, static_cast<std::uint8_t>(call.kind),
         builder.CreateString(call.queue), call.job,
         builder.CreateVector(reinterpret_cast<const std::uint8_t *>(call.record.data()), call.record.size()),
-        call.wait.count());
+        call.wait.count(), builder.CreateString(call.tenant), call.isRestricted);
     return {wire::Body::Call, offset.Union()};
 }
 
@@ -69,7 +69,8 @@
 {
     const ClientAnswer &answer = forwarded.answer;
     const auto offset = wire::CreateAnswer(builder, answer.call, static_cast<std::uint8_t>(answer.outcome),
-        static_cast<std::uint8_t>(answer.state), answer.count, answer.retryAfter.count());
+        static_cast<std::uint8_t>(answer.state), answer.count, answer.retryAfter.count(),
+        builder.CreateString(answer.detail));
     return {wire::Body::Answer, offset.Union()};
 }
 
@@ -108,7 +109,13 @@
     const auto host = builder.CreateSharedString(queue.host);
     const auto pool = builder.CreateSharedString(queue.pool);
     return wire::CreateQueue(builder, builder.CreateString(queue.name), host, builder.CreateString(queue.pathPrefix),
-        pool, queue.priority, queue.maxAttempts, queue.stretch, queue.target.count(), advice);
+        pool, queue.priority, queue.maxAttempts, queue.stretch, queue.target.count(), advice, queue.isPublic);
+}
+
+flatbuffers::Offset<wire::Tenant> buildTenant(Builder &builder, const TenantConfig &tenant)
+{
+    return wire::CreateTenant(builder, builder.CreateString(tenant.name), builder.CreateVectorOfStrings(tenant.keys),
+        tenant.weight, tenant.cap.cpuMilli, tenant.cap.memoryMib, tenant.cap.accelerators);
 }
 
 std::pair<wire::Body, flatbuffers::Offset<void>> build(Builder &builder, const ConfigurationTransfer &transfer)
@@ -123,10 +130,16 @@
         pools.push_back(
             wire::CreatePool(builder, builder.CreateString(pool.name), pool.workersEnforceCapacity, pool.standby));
     }
+    std::vector<flatbuffers::Offset<wire::Tenant>> tenants;
+    if (configuration.tenants) {
+        for (const TenantConfig &tenant : *configuration.tenants) {
+            tenants.push_back(buildTenant(builder, tenant));
+        }
+    }
     const ClientLimits &limits = configuration.limits;
     const auto offset = wire::CreateConfigurationTransfer(builder, configuration.version, builder.CreateVector(queues),
         builder.CreateVector(pools), limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout.count(),
-        limits.idleTimeout.count());
+        limits.idleTimeout.count(), configuration.tenants.has_value(), builder.CreateVector(tenants));
     return {wire::Body::ConfigurationTransfer, offset.Union()};
 }
 
@@ -151,6 +164,8 @@
         .queue = textOf(call.queue()),
         .job = call.job(),
         .record = {},
+        .tenant = textOf(call.tenant()),
+        .isRestricted = call.restricted(),
         .wait = durationOf(call.wait_ms())};
     if (call.record() != nullptr) {
         result.record.assign(reinterpret_cast<const char *>(call.record()->data()), call.record()->size());
@@ -161,10 +176,11 @@
 PeerBody read(const wire::Answer &answer)
 {
     return ForwardedAnswer{.answer = {.call = answer.exchange(),
-                               .outcome = enumOf(answer.outcome(), ClientOutcome::NotLeader),
+                               .outcome = enumOf(answer.outcome(), ClientOutcome::Forbidden),
                                .state = enumOf(answer.state(), JobState::Cancelled),
                                .count = answer.count(),
-                               .retryAfter = durationOf(answer.retry_after_ms())}};
+                               .retryAfter = durationOf(answer.retry_after_ms()),
+                               .detail = textOf(answer.detail())}};
 }
 
 PeerBody read(const wire::AdviceOrder &order)
@@ -210,7 +226,8 @@
         .maxAttempts = queue.max_attempts(),
         .stretch = queue.stretch(),
         .target = durationOf(queue.target_ms()),
-        .advice = {}};
+        .advice = {},
+        .isPublic = queue.public_()};
     if (queue.advice() != nullptr) {
         result.advice = {.base = microsOf(queue.advice()->base_us()),
             .perWorker = microsOf(queue.advice()->per_worker_us()),
@@ -219,6 +236,22 @@
     return result;
 }
 
+TenantConfig readTenant(const wire::Tenant &tenant)
+{
+    TenantConfig result{.name = textOf(tenant.name()),
+        .keys = {},
+        .weight = tenant.weight(),
+        .cap = {.cpuMilli = valueIn(tenant.cap_cpu(), tenantCapRange),
+            .memoryMib = valueIn(tenant.cap_memory(), tenantCapRange),
+            .accelerators = valueIn(tenant.cap_accelerators(), tenantCapRange)}};
+    if (tenant.keys() != nullptr) {
+        for (const auto *key : *tenant.keys()) {
+            result.keys.push_back(textOf(key));
+        }
+    }
+    return result;
+}
+
 PeerBody read(const wire::ConfigurationTransfer &transfer)
 {
     Configuration configuration{.version = transfer.version(),
@@ -242,6 +275,14 @@
                 .standby = pool->standby()});
         }
     }
+    if (transfer.has_tenants()) {
+        configuration.tenants.emplace();
+        if (transfer.tenants() != nullptr) {
+            for (const auto *tenant : *transfer.tenants()) {
+                configuration.tenants->push_back(readTenant(*tenant));
+            }
+        }
+    }
     return ConfigurationTransfer{.configuration = std::move(configuration)};
 }
 
--- a/drivers/cluster_protocol/cluster_generated.h
+++ b/drivers/cluster_protocol/cluster_generated.h
@@ -47,6 +47,9 @@
 struct Pool;
 struct PoolBuilder;
 
+struct Tenant;
+struct TenantBuilder;
+
 struct ConfigurationTransfer;
 struct ConfigurationTransferBuilder;
 
@@ -319,7 +322,9 @@
     VT_QUEUE = 8,
     VT_JOB = 10,
     VT_RECORD = 12,
-    VT_WAIT_MS = 14
+    VT_WAIT_MS = 14,
+    VT_TENANT = 16,
+    VT_RESTRICTED = 18
   };
   uint64_t exchange() const {
     return GetField<uint64_t>(VT_EXCHANGE, 0);
@@ -339,6 +344,12 @@
   int64_t wait_ms() const {
     return GetField<int64_t>(VT_WAIT_MS, 0);
   }
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
+  bool restricted() const {
+    return GetField<uint8_t>(VT_RESTRICTED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_EXCHANGE, 8) &&
@@ -349,6 +360,9 @@
            VerifyOffset(verifier, VT_RECORD) &&
            verifier.VerifyVector(record()) &&
            VerifyField<int64_t>(verifier, VT_WAIT_MS, 8) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
+           VerifyField<uint8_t>(verifier, VT_RESTRICTED, 1) &&
            verifier.EndTable();
   }
 };
@@ -375,6 +389,12 @@
   void add_wait_ms(int64_t wait_ms) {
     fbb_.AddElement<int64_t>(Call::VT_WAIT_MS, wait_ms, 0);
   }
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(Call::VT_TENANT, tenant);
+  }
+  void add_restricted(bool restricted) {
+    fbb_.AddElement<uint8_t>(Call::VT_RESTRICTED, static_cast<uint8_t>(restricted), 0);
+  }
   explicit CallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -393,13 +413,17 @@
     flatbuffers::Offset<flatbuffers::String> queue = 0,
     uint64_t job = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> record = 0,
-    int64_t wait_ms = 0) {
+    int64_t wait_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
+    bool restricted = false) {
   CallBuilder builder_(_fbb);
   builder_.add_wait_ms(wait_ms);
   builder_.add_job(job);
   builder_.add_exchange(exchange);
+  builder_.add_tenant(tenant);
   builder_.add_record(record);
   builder_.add_queue(queue);
+  builder_.add_restricted(restricted);
   builder_.add_kind(kind);
   return builder_.Finish();
 }
@@ -411,9 +435,12 @@
     const char *queue = nullptr,
     uint64_t job = 0,
     const std::vector<uint8_t> *record = nullptr,
-    int64_t wait_ms = 0) {
+    int64_t wait_ms = 0,
+    const char *tenant = nullptr,
+    bool restricted = false) {
   auto queue__ = queue ? _fbb.CreateString(queue) : 0;
   auto record__ = record ? _fbb.CreateVector<uint8_t>(*record) : 0;
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   return wigeonkeel::cluster_wire::CreateCall(
       _fbb,
       exchange,
@@ -421,7 +448,9 @@
       queue__,
       job,
       record__,
-      wait_ms);
+      wait_ms,
+      tenant__,
+      restricted);
 }
 
 struct Answer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -431,7 +460,8 @@
     VT_OUTCOME = 6,
     VT_STATE = 8,
     VT_COUNT = 10,
-    VT_RETRY_AFTER_MS = 12
+    VT_RETRY_AFTER_MS = 12,
+    VT_DETAIL = 14
   };
   uint64_t exchange() const {
     return GetField<uint64_t>(VT_EXCHANGE, 0);
@@ -448,6 +478,9 @@
   int64_t retry_after_ms() const {
     return GetField<int64_t>(VT_RETRY_AFTER_MS, 0);
   }
+  const flatbuffers::String *detail() const {
+    return GetPointer<const flatbuffers::String *>(VT_DETAIL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_EXCHANGE, 8) &&
@@ -455,6 +488,8 @@
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
            VerifyField<uint64_t>(verifier, VT_COUNT, 8) &&
            VerifyField<int64_t>(verifier, VT_RETRY_AFTER_MS, 8) &&
+           VerifyOffset(verifier, VT_DETAIL) &&
+           verifier.VerifyString(detail()) &&
            verifier.EndTable();
   }
 };
@@ -478,6 +513,9 @@
   void add_retry_after_ms(int64_t retry_after_ms) {
     fbb_.AddElement<int64_t>(Answer::VT_RETRY_AFTER_MS, retry_after_ms, 0);
   }
+  void add_detail(flatbuffers::Offset<flatbuffers::String> detail) {
+    fbb_.AddOffset(Answer::VT_DETAIL, detail);
+  }
   explicit AnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -495,16 +533,37 @@
     uint8_t outcome = 0,
     uint8_t state = 0,
     uint64_t count = 0,
-    int64_t retry_after_ms = 0) {
+    int64_t retry_after_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> detail = 0) {
   AnswerBuilder builder_(_fbb);
   builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_count(count);
   builder_.add_exchange(exchange);
+  builder_.add_detail(detail);
   builder_.add_state(state);
   builder_.add_outcome(outcome);
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<Answer> CreateAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t exchange = 0,
+    uint8_t outcome = 0,
+    uint8_t state = 0,
+    uint64_t count = 0,
+    int64_t retry_after_ms = 0,
+    const char *detail = nullptr) {
+  auto detail__ = detail ? _fbb.CreateString(detail) : 0;
+  return wigeonkeel::cluster_wire::CreateAnswer(
+      _fbb,
+      exchange,
+      outcome,
+      state,
+      count,
+      retry_after_ms,
+      detail__);
+}
+
 struct AdviceOrder FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef AdviceOrderBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -883,7 +942,8 @@
     VT_MAX_ATTEMPTS = 14,
     VT_STRETCH = 16,
     VT_TARGET_MS = 18,
-    VT_ADVICE = 20
+    VT_ADVICE = 20,
+    VT_PUBLIC_ = 22
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -912,6 +972,9 @@
   const wigeonkeel::cluster_wire::Advice *advice() const {
     return GetPointer<const wigeonkeel::cluster_wire::Advice *>(VT_ADVICE);
   }
+  bool public_() const {
+    return GetField<uint8_t>(VT_PUBLIC_, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -928,6 +991,7 @@
            VerifyField<int64_t>(verifier, VT_TARGET_MS, 8) &&
            VerifyOffset(verifier, VT_ADVICE) &&
            verifier.VerifyTable(advice()) &&
+           VerifyField<uint8_t>(verifier, VT_PUBLIC_, 1) &&
            verifier.EndTable();
   }
 };
@@ -963,6 +1027,9 @@
   void add_advice(flatbuffers::Offset<wigeonkeel::cluster_wire::Advice> advice) {
     fbb_.AddOffset(Queue::VT_ADVICE, advice);
   }
+  void add_public_(bool public_) {
+    fbb_.AddElement<uint8_t>(Queue::VT_PUBLIC_, static_cast<uint8_t>(public_), 0);
+  }
   explicit QueueBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -984,7 +1051,8 @@
     uint32_t max_attempts = 0,
     double stretch = 0.0,
     int64_t target_ms = 0,
-    flatbuffers::Offset<wigeonkeel::cluster_wire::Advice> advice = 0) {
+    flatbuffers::Offset<wigeonkeel::cluster_wire::Advice> advice = 0,
+    bool public_ = false) {
   QueueBuilder builder_(_fbb);
   builder_.add_target_ms(target_ms);
   builder_.add_stretch(stretch);
@@ -995,6 +1063,7 @@
   builder_.add_prefix(prefix);
   builder_.add_host(host);
   builder_.add_name(name);
+  builder_.add_public_(public_);
   return builder_.Finish();
 }
 
@@ -1008,7 +1077,8 @@
     uint32_t max_attempts = 0,
     double stretch = 0.0,
     int64_t target_ms = 0,
-    flatbuffers::Offset<wigeonkeel::cluster_wire::Advice> advice = 0) {
+    flatbuffers::Offset<wigeonkeel::cluster_wire::Advice> advice = 0,
+    bool public_ = false) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto prefix__ = prefix ? _fbb.CreateString(prefix) : 0;
@@ -1023,7 +1093,8 @@
       max_attempts,
       stretch,
       target_ms,
-      advice);
+      advice,
+      public_);
 }
 
 struct Pool FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1101,6 +1172,120 @@
       standby);
 }
 
+struct Tenant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TenantBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_KEYS = 6,
+    VT_WEIGHT = 8,
+    VT_CAP_CPU = 10,
+    VT_CAP_MEMORY = 12,
+    VT_CAP_ACCELERATORS = 14
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *keys() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_KEYS);
+  }
+  double weight() const {
+    return GetField<double>(VT_WEIGHT, 0.0);
+  }
+  int64_t cap_cpu() const {
+    return GetField<int64_t>(VT_CAP_CPU, 0);
+  }
+  int64_t cap_memory() const {
+    return GetField<int64_t>(VT_CAP_MEMORY, 0);
+  }
+  int64_t cap_accelerators() const {
+    return GetField<int64_t>(VT_CAP_ACCELERATORS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_KEYS) &&
+           verifier.VerifyVector(keys()) &&
+           verifier.VerifyVectorOfStrings(keys()) &&
+           VerifyField<double>(verifier, VT_WEIGHT, 8) &&
+           VerifyField<int64_t>(verifier, VT_CAP_CPU, 8) &&
+           VerifyField<int64_t>(verifier, VT_CAP_MEMORY, 8) &&
+           VerifyField<int64_t>(verifier, VT_CAP_ACCELERATORS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct TenantBuilder {
+  typedef Tenant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(Tenant::VT_NAME, name);
+  }
+  void add_keys(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> keys) {
+    fbb_.AddOffset(Tenant::VT_KEYS, keys);
+  }
+  void add_weight(double weight) {
+    fbb_.AddElement<double>(Tenant::VT_WEIGHT, weight, 0.0);
+  }
+  void add_cap_cpu(int64_t cap_cpu) {
+    fbb_.AddElement<int64_t>(Tenant::VT_CAP_CPU, cap_cpu, 0);
+  }
+  void add_cap_memory(int64_t cap_memory) {
+    fbb_.AddElement<int64_t>(Tenant::VT_CAP_MEMORY, cap_memory, 0);
+  }
+  void add_cap_accelerators(int64_t cap_accelerators) {
+    fbb_.AddElement<int64_t>(Tenant::VT_CAP_ACCELERATORS, cap_accelerators, 0);
+  }
+  explicit TenantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Tenant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Tenant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Tenant> CreateTenant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> keys = 0,
+    double weight = 0.0,
+    int64_t cap_cpu = 0,
+    int64_t cap_memory = 0,
+    int64_t cap_accelerators = 0) {
+  TenantBuilder builder_(_fbb);
+  builder_.add_cap_accelerators(cap_accelerators);
+  builder_.add_cap_memory(cap_memory);
+  builder_.add_cap_cpu(cap_cpu);
+  builder_.add_weight(weight);
+  builder_.add_keys(keys);
+  builder_.add_name(name);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Tenant> CreateTenantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *keys = nullptr,
+    double weight = 0.0,
+    int64_t cap_cpu = 0,
+    int64_t cap_memory = 0,
+    int64_t cap_accelerators = 0) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto keys__ = keys ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*keys) : 0;
+  return wigeonkeel::cluster_wire::CreateTenant(
+      _fbb,
+      name__,
+      keys__,
+      weight,
+      cap_cpu,
+      cap_memory,
+      cap_accelerators);
+}
+
 struct ConfigurationTransfer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ConfigurationTransferBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1110,7 +1295,9 @@
     VT_MAX_HEADER_BYTES = 10,
     VT_MAX_BODY_BYTES = 12,
     VT_HEADER_TIMEOUT_MS = 14,
-    VT_IDLE_TIMEOUT_MS = 16
+    VT_IDLE_TIMEOUT_MS = 16,
+    VT_HAS_TENANTS = 18,
+    VT_TENANTS = 20
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
@@ -1133,6 +1320,12 @@
   int64_t idle_timeout_ms() const {
     return GetField<int64_t>(VT_IDLE_TIMEOUT_MS, 0);
   }
+  bool has_tenants() const {
+    return GetField<uint8_t>(VT_HAS_TENANTS, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<wigeonkeel::cluster_wire::Tenant>> *tenants() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<wigeonkeel::cluster_wire::Tenant>> *>(VT_TENANTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
@@ -1146,6 +1339,10 @@
            VerifyField<uint64_t>(verifier, VT_MAX_BODY_BYTES, 8) &&
            VerifyField<int64_t>(verifier, VT_HEADER_TIMEOUT_MS, 8) &&
            VerifyField<int64_t>(verifier, VT_IDLE_TIMEOUT_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_TENANTS, 1) &&
+           VerifyOffset(verifier, VT_TENANTS) &&
+           verifier.VerifyVector(tenants()) &&
+           verifier.VerifyVectorOfTables(tenants()) &&
            verifier.EndTable();
   }
 };
@@ -1175,6 +1372,12 @@
   void add_idle_timeout_ms(int64_t idle_timeout_ms) {
     fbb_.AddElement<int64_t>(ConfigurationTransfer::VT_IDLE_TIMEOUT_MS, idle_timeout_ms, 0);
   }
+  void add_has_tenants(bool has_tenants) {
+    fbb_.AddElement<uint8_t>(ConfigurationTransfer::VT_HAS_TENANTS, static_cast<uint8_t>(has_tenants), 0);
+  }
+  void add_tenants(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<wigeonkeel::cluster_wire::Tenant>>> tenants) {
+    fbb_.AddOffset(ConfigurationTransfer::VT_TENANTS, tenants);
+  }
   explicit ConfigurationTransferBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1194,15 +1397,19 @@
     uint64_t max_header_bytes = 0,
     uint64_t max_body_bytes = 0,
     int64_t header_timeout_ms = 0,
-    int64_t idle_timeout_ms = 0) {
+    int64_t idle_timeout_ms = 0,
+    bool has_tenants = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<wigeonkeel::cluster_wire::Tenant>>> tenants = 0) {
   ConfigurationTransferBuilder builder_(_fbb);
   builder_.add_idle_timeout_ms(idle_timeout_ms);
   builder_.add_header_timeout_ms(header_timeout_ms);
   builder_.add_max_body_bytes(max_body_bytes);
   builder_.add_max_header_bytes(max_header_bytes);
   builder_.add_version(version);
+  builder_.add_tenants(tenants);
   builder_.add_pools(pools);
   builder_.add_queues(queues);
+  builder_.add_has_tenants(has_tenants);
   return builder_.Finish();
 }
 
@@ -1214,9 +1421,12 @@
     uint64_t max_header_bytes = 0,
     uint64_t max_body_bytes = 0,
     int64_t header_timeout_ms = 0,
-    int64_t idle_timeout_ms = 0) {
+    int64_t idle_timeout_ms = 0,
+    bool has_tenants = false,
+    const std::vector<flatbuffers::Offset<wigeonkeel::cluster_wire::Tenant>> *tenants = nullptr) {
   auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<wigeonkeel::cluster_wire::Queue>>(*queues) : 0;
   auto pools__ = pools ? _fbb.CreateVector<flatbuffers::Offset<wigeonkeel::cluster_wire::Pool>>(*pools) : 0;
+  auto tenants__ = tenants ? _fbb.CreateVector<flatbuffers::Offset<wigeonkeel::cluster_wire::Tenant>>(*tenants) : 0;
   return wigeonkeel::cluster_wire::CreateConfigurationTransfer(
       _fbb,
       version,
@@ -1225,7 +1435,9 @@
       max_header_bytes,
       max_body_bytes,
       header_timeout_ms,
-      idle_timeout_ms);
+      idle_timeout_ms,
+      has_tenants,
+      tenants__);
 }
 
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -203,6 +203,9 @@
         const auto seconds = std::chrono::ceil<std::chrono::seconds>(reply.retryAfter).count();
         evhttp_add_header(headers, "Retry-After", std::to_string(seconds).c_str());
     }
+    if (!reply.authenticate.empty()) {
+        evhttp_add_header(headers, "WWW-Authenticate", std::string(reply.authenticate).c_str());
+    }
     if (reply.closeConnection || m_socket == nullptr) {
         evhttp_add_header(headers, "Connection", "close");
     }
--- a/drivers/http/http_server.h
+++ b/drivers/http/http_server.h
@@ -43,6 +43,8 @@
     /// Sent as Retry-After, rounded up to whole seconds; none if 0.
     milliseconds retryAfter{0};
     bool closeConnection = false;
+    /// Sent as WWW-Authenticate; empty for none.
+    std::string_view authenticate;
 };
 
 struct HttpServerOptions
--- a/modules/cluster_metrics/cluster_metrics.cpp
+++ b/modules/cluster_metrics/cluster_metrics.cpp
@@ -37,8 +37,8 @@
 constexpr std::array<const char *, durationKindCount> durationNames
     = {"acceptance", "first_start", "completion", "advice"};
 constexpr std::array<const char *, 4> callNames = {"submit", "query", "cancel", "count_pending"};
-constexpr std::array<const char *, 6> outcomeNames
-    = {"ok", "no_such_job", "refused", "impossible", "unknown", "not_leader"};
+constexpr std::array<const char *, 7> outcomeNames
+    = {"ok", "no_such_job", "refused", "impossible", "unknown", "not_leader", "forbidden"};
 
 prometheus::MetricFamily family(std::string name, prometheus::MetricType type, double value)
 {
