--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -85,8 +85,8 @@
 void rejectJob(Dispatcher &dispatcher, const ClientCall &call, milliseconds retryAfter, std::string_view reason)
 {
     ++dispatcher.counters.rejected;
-    logLine(LogLevel::Info, logPart, "Job rejected. job={} queue={} reason={} retry_after_ms={}", formatJobId(call.job),
-        call.queue, reason, retryAfter.count());
+    logLine(LogLevel::Info, logPart, "Job rejected. job={} queue={} tenant={} reason={} retry_after_ms={}",
+        formatJobId(call.job), call.queue, call.tenant, reason, retryAfter.count());
     answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Refused, .retryAfter = retryAfter});
 }
 
@@ -347,8 +347,10 @@
     ++dispatcher.counters.accepted;
     observe(dispatcher, DurationKind::Acceptance, now.monotonic - job.arrivedAt);
     logLine(LogLevel::Info, logPart,
-        "Job accepted. job={} queue={} steps={} tasks={} due_in_ms={} ends_known={} ends_removed={}",
-        formatJobId(job.record.id), job.record.queue.name, job.record.spec.steps.size(),
+        "Job accepted. job={} queue={} tenant={} above_rate={} steps={} tasks={} due_in_ms={} ends_known={} "
+        "ends_removed={}",
+        formatJobId(job.record.id), job.record.queue.name, job.record.tenant, job.record.isExcess,
+        job.record.spec.steps.size(),
         job.record.spec.steps.front().count, std::chrono::floor<milliseconds>(job.dueBy - now.monotonic).count(),
         dispatcher.jobs.ended.size(), dispatcher.counters.endsRemoved);
     for (const CallId call : job.waitingSubmits) {
