dispatch: learn the speeds of workers

Cause: workers run at 0.55 to 1.3 of the usual speed, which the placement does not know. Change: runs of a step on different workers are compared by duration and, for long runs, by progress. Each worker has an estimate with a prior of 1.0 and a class (slow, usual, fast) with hysteresis, discarded with its incarnation. Changes of class are logged, at most 10 a second. Runs whose duration depends on other things (gangs, tasks away from their data, interrupted links) are not measured. Simulated workers can have a speed.

--- a/core/dispatch/job_table.cpp
+++ b/core/dispatch/job_table.cpp
@@ -67,4 +67,16 @@
     return longest;
 }
 
+milliseconds remainingPathEstimate(const JobSpec &spec, std::uint32_t step)
+{
+    // Steps name earlier steps only, so those that follow a step are complete before it in reverse order.
+    std::vector<milliseconds> following(spec.steps.size(), milliseconds(0));
+    for (std::size_t i = spec.steps.size() - 1; i > step; --i) {
+        for (const std::uint32_t before : spec.steps[i].after) {
+            following[before] = std::max(following[before], spec.steps[i].estimate + following[i]);
+        }
+    }
+    return spec.steps[step].estimate + following[step];
+}
+
 } // namespace wigeonkeel::dispatch
--- a/core/dispatch/job_table.h
+++ b/core/dispatch/job_table.h
@@ -79,6 +79,7 @@
     std::vector<PlannedPlace> plan;
     MonotonicTime planUntil{};
     MonotonicTime notBefore{};
+    SpeedSamples speeds;
 };
 
 struct Occurrence
@@ -168,4 +169,7 @@
 /// Sum of the estimates on the longest path through the steps.
 milliseconds criticalPathEstimate(const JobSpec &spec);
 
+/// Sum of the estimates on the longest path that begins with this step.
+milliseconds remainingPathEstimate(const JobSpec &spec, std::uint32_t step);
+
 } // namespace wigeonkeel::dispatch
--- a/core/dispatch/task_runs.cpp
+++ b/core/dispatch/task_runs.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/task_runs.h"
 
 #include "core/dispatch/records.h"
+#include "core/dispatch/run_speed.h"
 #include "core/dispatch/tenant_state.h"
 #include "core/log.h"
 
@@ -76,6 +77,7 @@
     Job &job = *place.job;
     Occurrence *occurrence = findOccurrence(job, key.occurrence);
     dropPlan(dispatcher, *place.job, *place.spec, *place.step);
+    compareStepSpeeds(dispatcher, *place.step, now.monotonic);
     place.step->allowed.clear();
     if (--occurrence->stepsLeft > 0) {
         openSteps(job.record.spec, *occurrence);
@@ -321,12 +323,15 @@
 {
     Worker &worker = dispatcher.workers.workers[slot];
     const auto run = worker.runs.find(key);
+    const TaskPlace place = findTask(dispatcher, key);
     if (run != worker.runs.end() && run->second.attempt == ended.attempt) {
+        if (place && ended.end == RunEnd::Done) {
+            recordSpeedEnd(dispatcher, place, run->second, slot, now.monotonic);
+        }
         removeRun(dispatcher, worker, key);
     }
     logLine(LogLevel::Info, logPart, "Run ended. task={} attempt={} worker={} end={} number={}", formatTaskKey(key),
         ended.attempt, worker.entry.id, endName(ended.end), ended.number);
-    const TaskPlace place = findTask(dispatcher, key);
     if (!place || place.task->phase == TaskPhase::Done) {
         if (ended.end == RunEnd::Done) {
             recordSuccess(worker.health);
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -1,5 +1,6 @@
 #include "core/dispatch/worker_events.h"
 
+#include "core/dispatch/run_speed.h"
 #include "core/dispatch/task_runs.h"
 #include "core/log.h"
 
@@ -85,6 +86,7 @@
     worker.renewalFailures = 0;
     worker.nextRenewal = now;
     worker.health = {};
+    worker.speed = {};
 }
 
 /// Concludes all runs of the worker as lost and resets its state.
@@ -186,6 +188,7 @@
         if (place) {
             recordStart(dispatcher, *place.job, now);
             place.task->progressAt = now;
+            recordSpeedStart(worker, place, run, now);
         }
         return;
     }
@@ -380,6 +383,7 @@
     if (running.percent != task.percent) {
         task.percent = running.percent;
         task.progressAt = now;
+        recordSpeedProgress(dispatcher, place, run, slot, running.percent, now);
     }
     if (!running.checkpoint.empty()) {
         task.checkpoint = running.checkpoint;
@@ -599,7 +603,9 @@
 /// Time in which the worker or this process reported or read nothing is not evidence that a task makes no progress.
 void restartProgressTimers(Dispatcher &dispatcher, WorkerSlot slot, MonotonicTime now)
 {
-    for (const auto &[key, run] : dispatcher.workers.workers[slot].runs) {
+    for (auto &[key, run] : dispatcher.workers.workers[slot].runs) {
+        // An end is not read at once after such a gap, and the run would seem to have taken longer.
+        run.speedMark.reset();
         const TaskPlace place = findTask(dispatcher, key);
         if (place && place.task->worker == slot) {
             place.task->progressAt = now;
--- a/core/dispatch/worker_table.h
+++ b/core/dispatch/worker_table.h
@@ -2,6 +2,7 @@
 
 #include "core/dispatch/messages.h"
 #include "core/dispatch/worker_health.h"
+#include "core/dispatch/worker_speed.h"
 #include "core/tenants/tenant_table.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -58,6 +59,8 @@
     bool checkpointed = false;
     /// Empty if a former leader started the run: it may have worked for any time.
     std::optional<MonotonicTime> startedAt;
+    /// Empty while it is not known how far the run had come at some time.
+    std::optional<SpeedMark> speedMark;
     /// The leader did not order the run, or considered it lost, and is stopping it. Its size is not known.
     bool unknown = false;
 };
@@ -115,14 +118,25 @@
     /// The latest lease end that was sent with a start.
     WorkerTime startLease{};
     WorkerHealth health;
+    SpeedEstimate speed;
     /// Number of unknown runs. No starts are ordered meanwhile, because the room that these runs take is not known.
     std::uint32_t unknownRuns = 0;
 };
 
+/// Limits the log lines about changed speed classes.
+struct SpeedLogLimit
+{
+    MonotonicTime periodStart{};
+    /// Lines written in this period, and changes without a line since the last one.
+    std::uint32_t lines = 0;
+    std::uint32_t suppressed = 0;
+};
+
 struct WorkerTable
 {
     std::vector<Worker> workers;
     absl::flat_hash_map<std::string, WorkerSlot> byId;
+    SpeedLogLimit speedLog;
 };
 
 /// Adds the worker unless it is in the table already.
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -78,6 +78,8 @@
     bool unlisted = false;
     /// Fails all that it starts.
     bool failsAll = false;
+    /// Progress of runs per time, 1.0 being the usual one.
+    double speed = 1.0;
     /// Runs make no progress.
     bool stalled = false;
     /// Time that a stop takes; if it is 0, the world's `stopTime`.
--- a/tests/dispatch/dispatch_world_workers.cpp
+++ b/tests/dispatch/dispatch_world_workers.cpp
@@ -320,7 +320,7 @@
             if (rules.gangs && run.gang) {
                 continue;
             }
-            run.done += target.stalled ? milliseconds(0) : step;
+            run.done += target.stalled ? milliseconds(0) : std::chrono::floor<milliseconds>(step * target.speed);
             if (run.done >= run.work) {
                 endRun(worker, i, run.willFail || target.failsAll ? RunEnd::Failed : RunEnd::Done);
             }
