placement: choose among free workers by speed class

Cause: urgent tasks ran on slow workers while faster ones were free, and one slow worker slowed down a whole gang. Change: tasks of priority 0 or with little slack prefer faster workers, tasks with ample slack slower ones, after ticket and rack of the data and before free room. Gangs take workers of one class where enough of them have room, and any otherwise. Pre-emption ignores speeds. While all workers are in one class the decisions are as before.

--- a/core/dispatch/placement/gang_placement.cpp
+++ b/core/dispatch/placement/gang_placement.cpp
@@ -6,6 +6,7 @@
 #include "core/dispatch/placement/worker_room.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <string>
 
@@ -20,6 +21,7 @@
     WorkerSlot slot = noWorker;
     std::uint32_t count = 0;
     std::int64_t leftOver = 0;
+    SpeedClass speedClass = SpeedClass::Usual;
 };
 
 std::vector<GangSpace> findGangSpaces(
@@ -36,44 +38,68 @@
             = std::min(remainingPerWorker(ready, slot), static_cast<std::uint32_t>(ready.step->tasks.size()));
         const std::uint32_t count = countFitting(size, room[slot], limit);
         if (count > 0) {
-            spaces.push_back({.slot = slot, .count = count, .leftOver = room[slot].cpuMilli - size.cpuMilli * count});
+            spaces.push_back({.slot = slot,
+                .count = count,
+                .leftOver = room[slot].cpuMilli - size.cpuMilli * count,
+                .speedClass = worker.speed.speedClass});
         }
     }
     std::ranges::sort(spaces, {}, [](const GangSpace &space) { return std::pair(space.leftOver, space.slot); });
     return spaces;
 }
 
-std::optional<std::vector<PlannedPlace>> fillSpaces(std::span<const GangSpace> spaces, std::uint32_t members)
+std::optional<std::vector<PlannedPlace>> fillSpaces(
+    std::span<const GangSpace> spaces, std::uint32_t members, SpeedClassSet speeds)
 {
     std::vector<PlannedPlace> plan;
     for (const GangSpace &space : spaces) {
-        for (std::uint32_t i = 0; i < space.count && plan.size() < members; ++i) {
+        const std::uint32_t count = contains(speeds, space.speedClass) ? space.count : 0;
+        for (std::uint32_t i = 0; i < count && plan.size() < members; ++i) {
             plan.push_back({.task = static_cast<std::uint32_t>(plan.size()), .worker = space.slot});
         }
     }
     return plan.size() == members ? std::optional(std::move(plan)) : std::nullopt;
 }
 
+/// Whether the spaces are on workers of more than one speed class.
+bool hasMixedSpeeds(std::span<const GangSpace> spaces)
+{
+    return std::ranges::any_of(
+        spaces, [&spaces](const GangSpace &space) { return space.speedClass != spaces.front().speedClass; });
+}
+
 } // namespace
 
-std::optional<std::vector<PlannedPlace>> placeGang(
-    const Dispatcher &dispatcher, const ReadyStep &ready, std::span<const Resources> room, MonotonicTime now)
+std::optional<std::vector<PlannedPlace>> placeGang(const Dispatcher &dispatcher, const ReadyStep &ready,
+    std::span<const Resources> room, GangSpeeds speeds, MonotonicTime now)
 {
     const std::vector<GangSpace> spaces = findGangSpaces(dispatcher, ready, room, now);
     const auto members = static_cast<std::uint32_t>(ready.step->tasks.size());
+    const std::array<SpeedClassSet, 5> sets = gangSpeedSets(speedPreferenceOf(ready, now));
+    const bool choosesSpeeds = speeds == GangSpeeds::Alike && hasMixedSpeeds(spaces);
+    const std::span<const SpeedClassSet> tried
+        = choosesSpeeds ? std::span<const SpeedClassSet>(sets) : std::span<const SpeedClassSet>(sets).last(1);
     if (ready.spec->sameRack) {
         std::map<std::string, std::vector<GangSpace>> racks;
         for (const GangSpace &space : spaces) {
             racks[dispatcher.workers.workers[space.slot].entry.rack].push_back(space);
         }
-        for (const auto &[rack, inRack] : racks) {
-            auto plan = fillSpaces(inRack, members);
-            if (plan) {
-                return plan;
+        for (const SpeedClassSet set : tried) {
+            for (const auto &[rack, inRack] : racks) {
+                auto plan = fillSpaces(inRack, members, set);
+                if (plan) {
+                    return plan;
+                }
             }
         }
     }
-    return fillSpaces(spaces, members);
+    for (const SpeedClassSet set : tried) {
+        auto plan = fillSpaces(spaces, members, set);
+        if (plan) {
+            return plan;
+        }
+    }
+    return std::nullopt;
 }
 
 void placeWholeGang(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
@@ -96,7 +122,7 @@
             return;
         }
     }
-    auto plan = placeGang(dispatcher, ready, roomOfWorkers(dispatcher), now);
+    auto plan = placeGang(dispatcher, ready, roomOfWorkers(dispatcher), GangSpeeds::Alike, now);
     if (plan) {
         reserve(dispatcher, ready, *plan, now + planSlack + adviceTime(ready, ready.step->tasks.size()) * 2);
         if (renewPlannedTickets(dispatcher, ready, now, now)) {
@@ -113,7 +139,8 @@
         requestMoreAdvice(dispatcher, ready, now);
         return;
     }
-    plan = placeGang(dispatcher, ready, roomAfterPreemption(dispatcher, ready, now), now);
+    // No run is stopped for workers of like speed.
+    plan = placeGang(dispatcher, ready, roomAfterPreemption(dispatcher, ready, now), GangSpeeds::Any, now);
     if (plan && preemptForPlan(dispatcher, ready, *plan, now)) {
         return;
     }
--- a/core/dispatch/placement/single_placement.cpp
+++ b/core/dispatch/placement/single_placement.cpp
@@ -24,12 +24,12 @@
 };
 
 /// The best allowed worker with room for the task. In order of importance: not the worker where the task last failed,
-/// with a valid ticket, on the data's rack, with the least free cpu.
+/// with a valid ticket, on the data's rack, of the preferred speed, with the least free cpu.
 SinglePlace chooseSingle(Dispatcher &dispatcher, const ReadyStep &ready, const Task &task,
-    std::span<const Resources> room, MonotonicTime now)
+    std::span<const Resources> room, SpeedPreference preference, MonotonicTime now)
 {
     SinglePlace best;
-    auto bestRank = std::tuple(true, true, true, std::int64_t{0});
+    auto bestRank = std::tuple(true, true, true, 0, std::int64_t{0});
     const Resources size = chargedSize(*ready.spec);
     const auto consider = [&](WorkerSlot slot) {
         const Worker &worker = dispatcher.workers.workers[slot];
@@ -38,7 +38,8 @@
         }
         const bool ticket = hasTicket(dispatcher, ready, slot, now);
         const bool far = !ready.spec->dataRack.empty() && worker.entry.rack != ready.spec->dataRack;
-        const auto rank = std::tuple(task.failedOn == slot, !ticket, far, room[slot].cpuMilli);
+        const auto rank = std::tuple(
+            task.failedOn == slot, !ticket, far, speedRank(preference, worker.speed.speedClass), room[slot].cpuMilli);
         if (best.slot == noWorker || rank < bestRank) {
             best = {.slot = slot, .hasTicket = ticket};
             bestRank = rank;
@@ -65,7 +66,9 @@
 bool preemptForOne(Dispatcher &dispatcher, const ReadyStep &ready, std::uint32_t index, MonotonicTime now)
 {
     const std::vector<Resources> room = roomAfterPreemption(dispatcher, ready, now);
-    const SinglePlace found = chooseSingle(dispatcher, ready, ready.step->tasks[index], room, now);
+    // No run is stopped for the sake of a faster worker.
+    const SinglePlace found
+        = chooseSingle(dispatcher, ready, ready.step->tasks[index], room, SpeedPreference::None, now);
     const PlannedPlace place{.task = index, .worker = found.slot};
     return found.slot != noWorker && preemptForPlan(dispatcher, ready, std::span(&place, 1), now);
 }
@@ -81,12 +84,13 @@
     std::vector<Resources> room = roomOfWorkers(dispatcher);
     std::vector<WorkerSlot> expired;
     bool noRoom = false;
+    const SpeedPreference preference = speedPreferenceOf(ready, now);
     std::uint32_t allowedByCap = startsWithinCap(dispatcher, *ready.job, *ready.spec, ready.step->waiting);
     for (std::uint32_t index = 0; index < ready.step->tasks.size() && allowedByCap > 0; ++index) {
         if (!canStart(index)) {
             continue;
         }
-        const SinglePlace found = chooseSingle(dispatcher, ready, ready.step->tasks[index], room, now);
+        const SinglePlace found = chooseSingle(dispatcher, ready, ready.step->tasks[index], room, preference, now);
         if (found.slot == noWorker) {
             noRoom = true;
             break;
--- a/core/dispatch/placement/step_order.cpp
+++ b/core/dispatch/placement/step_order.cpp
@@ -63,6 +63,14 @@
         .dueBy = job.dueBy};
 }
 
+SpeedPreference speedPreferenceOf(const ReadyStep &ready, MonotonicTime now)
+{
+    return speedPreference({.isTopPriority = ready.queue->priority == 0,
+        .isLongRunning = ready.spec->longRunning,
+        .timeLeft = std::chrono::floor<milliseconds>(ready.dueBy - now),
+        .estimate = remainingPathEstimate(ready.job->record.spec, ready.key.step)});
+}
+
 PlacementPosition positionOf(const ReadyStep &ready)
 {
     return {.isExcess = ready.job->record.isExcess,
--- a/core/dispatch/placement/step_order.h
+++ b/core/dispatch/placement/step_order.h
@@ -34,6 +34,9 @@
 
 ReadyStep readyStepOf(const Dispatcher &dispatcher, Job &job, const StepKey &key, StepRun &step, MonotonicTime now);
 
+/// Whether the step's tasks prefer faster or slower workers.
+SpeedPreference speedPreferenceOf(const ReadyStep &ready, MonotonicTime now);
+
 /// Place of the step in the order of placement.
 PlacementPosition positionOf(const ReadyStep &ready);
 
