metrics: count workers by speed class

Cause: operators can't see how many workers count as slow or fast. Change: gauge wigeonkeel_workers_by_speed by class, of listed workers.

--- a/modules/cluster_metrics/cluster_metrics.cpp
+++ b/modules/cluster_metrics/cluster_metrics.cpp
@@ -49,6 +49,26 @@
         .name = "wigeonkeel_" + std::move(name), .help = "See docs/OPERATIONS.md.", .type = type, .metric = {metric}};
 }
 
+prometheus::MetricFamily workersBySpeed(const WorkerTable &table)
+{
+    constexpr std::array<const char *, speedClassCount> names = {"slow", "usual", "fast"};
+    std::array<std::size_t, speedClassCount> counts{};
+    for (const Worker &worker : table.workers) {
+        counts.at(static_cast<std::size_t>(worker.speed.speedClass)) += worker.listed ? 1 : 0;
+    }
+    prometheus::MetricFamily workers{.name = "wigeonkeel_workers_by_speed",
+        .help = "See docs/OPERATIONS.md.",
+        .type = prometheus::MetricType::Gauge,
+        .metric = {}};
+    for (std::size_t i = 0; i < speedClassCount; ++i) {
+        prometheus::ClientMetric metric;
+        metric.label = {{"class", names.at(i)}};
+        metric.gauge.value = static_cast<double>(counts.at(i));
+        workers.metric.push_back(std::move(metric));
+    }
+    return workers;
+}
+
 void addLeaderMetrics(const Dispatcher &dispatcher, std::vector<prometheus::MetricFamily> &families)
 {
     for (const CounterRow &row : counterRows) {
@@ -63,6 +83,7 @@
     gauge("workers_known", dispatcher.workers.workers.size());
     gauge("commits_waiting", dispatcher.commits.waiting.size());
     gauge("advice_waiting", dispatcher.advisor.waiting.size());
+    families.push_back(workersBySpeed(dispatcher.workers));
 }
 
 void handleAction(ClusterMetrics &metrics, const Action &action)
