placement: check a worker's room before its state for gangs

Cause: with the speeds in the worker table, a pass over 100 waiting gangs on 3,000 full workers took 5.4 to 5.7 ms in place of 4.7 to 5.0 ms. Change: workers without room for one member are passed over before their state is read; the places are the same.

--- a/core/dispatch/placement/gang_placement.cpp
+++ b/core/dispatch/placement/gang_placement.cpp
@@ -30,6 +30,10 @@
     std::vector<GangSpace> spaces;
     const Resources size = chargedSize(*ready.spec);
     for (WorkerSlot slot = 0; slot < room.size(); ++slot) {
+        // The room is checked first: it is compact in memory, and most workers have none when the cluster is full.
+        if (countFitting(size, room[slot], 1) == 0) {
+            continue;
+        }
         const Worker &worker = dispatcher.workers.workers[slot];
         if (!isAllowed(ready, slot) || !isEligible(ready, worker, now)) {
             continue;
