placement: wait for a near place where that pays

A task runs remoteFactor times as long outside the rack of its data, and so does a sameRack gang on several racks. The rack only broke ties among workers with free room, and the setting was not read, so that a task started far away even if a near worker was free a moment later.

bounds.remoteFactor is read from the settings. A step that has room only on far places now waits if the expected near end is before the far one and the job's slack allows it: at most 1 s a step, 1 s in all for a job with nothing running, and 2 s after the job last ran. A wait reserves nothing, isn't counted as a step without room and pre-empts nothing.

--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -44,6 +44,9 @@
     milliseconds gangTimeout{3000};
     /// Ended jobs are known to clients for at least this long.
     milliseconds keepEnded{120000};
+    /// A task takes this many times as long outside the rack of its data, and a sameRack gang on several racks. At most
+    /// 1 if there is no difference; nothing waits for near places then.
+    double remoteFactor = 1.0;
 };
 
 /// The lease that leaders request, counted from the request.
@@ -121,6 +124,17 @@
     std::uint64_t endsRemoved = 0;
     /// Unknown jobs that were cancelled; their ids count as used from then on.
     std::uint64_t jobsWithdrawn = 0;
+    /// Waits of steps for near places: begun, ended on near places, and given up. The others ended with their jobs.
+    std::uint64_t placeWaits = 0;
+    std::uint64_t placeWaitsNear = 0;
+    std::uint64_t placeWaitsGivenUp = 0;
+};
+
+/// Waits for near places that the current pass of the placement has decided on.
+struct PlaceWaitPass
+{
+    std::size_t steps = 0;
+    absl::flat_hash_map<std::string, std::size_t> waitersByRack;
 };
 
 /// Place of a step in the order in which steps are placed.
@@ -196,6 +210,7 @@
     MonotonicTime nextPlacement{};
     /// The last step that a pass of the placement examined in turn; empty if the pass reached all steps.
     std::optional<PlacementPosition> placedUpTo;
+    PlaceWaitPass placeWaits;
     MonotonicTime nextSupervision{};
     /// When the runs of all workers were last checked.
     MonotonicTime supervisedAt{};
--- a/core/dispatch/job_table.h
+++ b/core/dispatch/job_table.h
@@ -55,6 +55,19 @@
     WorkerSlot worker = noWorker;
 };
 
+/// Waits of a step's tasks for near places.
+struct PlaceWaitState
+{
+    /// When the current wait began; empty without one.
+    std::optional<MonotonicTime> since;
+    /// Time up to which the current wait is counted in `waited`.
+    MonotonicTime countedUntil{};
+    /// Time of all waits.
+    milliseconds waited{0};
+    /// A wait was given up; the step doesn't wait again.
+    bool isOver = false;
+};
+
 /// A step of one occurrence.
 struct StepRun
 {
@@ -79,6 +92,7 @@
     std::vector<PlannedPlace> plan;
     MonotonicTime planUntil{};
     MonotonicTime notBefore{};
+    PlaceWaitState placeWait;
 };
 
 struct Occurrence
@@ -118,6 +132,11 @@
     MonotonicTime submittedAt{};
     /// When this leader received the job.
     MonotonicTime arrivedAt{};
+    /// Since when the placement has seen nothing of the job running; empty while something runs, and for jobs without
+    /// steps that may wait for near places.
+    std::optional<MonotonicTime> idleSince;
+    /// Time of all waits for near places while nothing of the job ran.
+    milliseconds idlePlaceWait{0};
     /// Calls of clients that wait for the job's acceptance, and for its cancellation.
     std::vector<CallId> waitingSubmits;
     std::vector<CallId> waitingCancels;
--- a/core/dispatch/placement/gang_placement.cpp
+++ b/core/dispatch/placement/gang_placement.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/placement/gang_placement.h"
 
 #include "core/dispatch/placement/advice_requests.h"
+#include "core/dispatch/placement/near_waits.h"
 #include "core/dispatch/placement/place_plans.h"
 #include "core/dispatch/placement/preemption.h"
 #include "core/dispatch/placement/worker_room.h"
@@ -54,6 +55,14 @@
     return plan.size() == members ? std::optional(std::move(plan)) : std::nullopt;
 }
 
+bool isOnOneRack(const Dispatcher &dispatcher, std::span<const PlannedPlace> plan)
+{
+    const auto rackOf = [&dispatcher](const PlannedPlace &place) -> const std::string & {
+        return dispatcher.workers.workers[place.worker].entry.rack;
+    };
+    return std::ranges::all_of(plan, [&](const PlannedPlace &place) { return rackOf(place) == rackOf(plan.front()); });
+}
+
 } // namespace
 
 std::optional<std::vector<PlannedPlace>> placeGang(
@@ -96,7 +105,13 @@
             return;
         }
     }
-    auto plan = placeGang(dispatcher, ready, roomOfWorkers(dispatcher), now);
+    const std::vector<Resources> room = roomOfWorkers(dispatcher);
+    auto plan = placeGang(dispatcher, ready, room, now);
+    const bool onOneRack = plan && isOnOneRack(dispatcher, *plan);
+    if (plan && !onOneRack && waitsForRack(dispatcher, ready, room, now)) {
+        return;
+    }
+    updatePlaceWait(dispatcher, ready, {.gaveUp = plan && !onOneRack, .noRoom = !plan}, now);
     if (plan) {
         reserve(dispatcher, ready, *plan, now + planSlack + adviceTime(ready, ready.step->tasks.size()) * 2);
         if (renewPlannedTickets(dispatcher, ready, now, now)) {
--- a/core/dispatch/placement/placement_pass.cpp
+++ b/core/dispatch/placement/placement_pass.cpp
@@ -2,6 +2,7 @@
 #include "core/dispatch/dispatcher.h"
 #include "core/dispatch/placement/advice_requests.h"
 #include "core/dispatch/placement/gang_placement.h"
+#include "core/dispatch/placement/near_waits.h"
 #include "core/dispatch/placement/single_placement.h"
 #include "core/dispatch/placement/worker_room.h"
 #include "core/dispatch/tenant_state.h"
@@ -93,6 +94,8 @@
     BlockedNeeds needs;
     /// Number of examined steps that found no room.
     std::size_t blocked = 0;
+    /// Number of examined steps that wait for near places. They have room, so that they don't end the pass.
+    std::size_t waitingNear = 0;
     /// By tenant: whether its cap held a step back.
     std::vector<bool> heldByCap;
 };
@@ -114,6 +117,7 @@
 
 void examineStep(Dispatcher &dispatcher, PlacementPass &pass, const ReadyStep &ready, MonotonicTime now)
 {
+    countPlaceWait(dispatcher, ready, now);
     // Such a step doesn't count as blocked: many of one tenant must not end the pass before the steps of others.
     if (isHeldByCap(dispatcher, *ready.job, *ready.spec, *ready.step)) {
         pass.heldByCap[ready.job->tenant] = true;
@@ -141,6 +145,10 @@
     if (comparable && foundNoRoom) {
         addBlocked(pass.needs, needOf(ready));
     }
+    if (ready.step->placeWait.since && !foundNoRoom) {
+        ++pass.waitingNear;
+        return;
+    }
     pass.blocked += ready.step->waiting == waiting ? 1 : 0;
 }
 
@@ -205,6 +213,7 @@
         countRunsNotFound(dispatcher);
     }
     const std::vector<ReadyStep> steps = readySteps(dispatcher, now);
+    dispatcher.placeWaits = {};
     PlacementPass pass{.needs = {}, .heldByCap = std::vector<bool>(dispatcher.tenants.rows.size(), false)};
     const std::size_t next = examineSteps(dispatcher, pass, steps, 0, maxBlockedSteps, now);
     if (next < steps.size()) {
@@ -212,9 +221,12 @@
     }
     updateHeldTenants(dispatcher, pass.heldByCap);
     // A step that finds no room examines every worker. The time between passes limits them to a fifth of a core.
-    const auto spacing = timePerExaminedWorker * static_cast<int>(pass.blocked * dispatcher.workers.workers.size())
+    const std::size_t withoutStart = pass.blocked + pass.waitingNear;
+    const auto spacing = timePerExaminedWorker * static_cast<int>(withoutStart * dispatcher.workers.workers.size())
         + timePerReadyStep * static_cast<int>(steps.size());
     dispatcher.nextPlacement = now + std::max(minPassSpacing, std::chrono::ceil<milliseconds>(spacing));
+    // Steps whose advice is prepared are examined again; their waits must not count as those of steps before them.
+    dispatcher.placeWaits = {};
     const auto prepare = [&dispatcher, now](AdviceRequest &request) { return prepareAdvice(dispatcher, request, now); };
     sendWaitingRequests(dispatcher.advisor, dispatcher.workers, *dispatcher.outbox, now, prepare);
 }
--- a/core/dispatch/placement/single_placement.cpp
+++ b/core/dispatch/placement/single_placement.cpp
@@ -1,13 +1,16 @@
 #include "core/dispatch/placement/single_placement.h"
 
 #include "core/dispatch/placement/advice_requests.h"
+#include "core/dispatch/placement/near_waits.h"
 #include "core/dispatch/placement/place_plans.h"
 #include "core/dispatch/placement/preemption.h"
 #include "core/dispatch/placement/worker_room.h"
 #include "core/dispatch/tenant_state.h"
 
 #include <algorithm>
+#include <optional>
 #include <span>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -23,6 +26,11 @@
     bool hasTicket = false;
 };
 
+bool isFar(const ReadyStep &ready, const Worker &worker)
+{
+    return !ready.spec->dataRack.empty() && worker.entry.rack != ready.spec->dataRack;
+}
+
 /// The best allowed worker with room for the task. In order of importance: not the worker where the task last failed,
 /// with a valid ticket, on the data's rack, with the least free cpu.
 SinglePlace chooseSingle(Dispatcher &dispatcher, const ReadyStep &ready, const Task &task,
@@ -37,7 +45,7 @@
             return;
         }
         const bool ticket = hasTicket(dispatcher, ready, slot, now);
-        const bool far = !ready.spec->dataRack.empty() && worker.entry.rack != ready.spec->dataRack;
+        const bool far = isFar(ready, worker);
         const auto rank = std::tuple(task.failedOn == slot, !ticket, far, room[slot].cpuMilli);
         if (best.slot == noWorker || rank < bestRank) {
             best = {.slot = slot, .hasTicket = ticket};
@@ -70,6 +78,40 @@
     return found.slot != noWorker && preemptForPlan(dispatcher, ready, std::span(&place, 1), now);
 }
 
+/// The tasks of a step that wait for near places, as one pass decides it.
+struct NearWaits
+{
+    std::optional<std::vector<milliseconds>> times;
+    std::vector<bool> tasks;
+    PlaceWaitResult result;
+};
+
+/// Whether one more task waits for a near place instead of a start on the far one that was found.
+bool waitsForPlace(Dispatcher &dispatcher, const ReadyStep &ready, NearWaits &waits, std::span<const Resources> room,
+    MonotonicTime now)
+{
+    if (!canWaitForPlace(dispatcher, ready)) {
+        return false;
+    }
+    const std::string_view rack = ready.spec->dataRack;
+    if (!waits.times) {
+        waits.times = nearPlaceTimes(dispatcher, ready, rack, room, now);
+    }
+    const std::size_t position = waitersBefore(dispatcher, rack) + waits.result.waiting;
+    // Near room that is free now was not chosen for another reason, such as an expired ticket.
+    if (position >= waits.times->size() || waits.times->front().count() == 0) {
+        return false;
+    }
+    const milliseconds freeIn = (*waits.times)[position];
+    if (!paysToWaitFor(dispatcher, ready, freeIn, now)) {
+        return false;
+    }
+    ++waits.result.waiting;
+    waits.result.rack = rack;
+    waits.result.freeIn = freeIn;
+    return true;
+}
+
 } // namespace
 
 bool placeSingles(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
@@ -81,16 +123,32 @@
     std::vector<Resources> room = roomOfWorkers(dispatcher);
     std::vector<WorkerSlot> expired;
     bool noRoom = false;
+    NearWaits waits{.times = {}, .tasks = std::vector<bool>(ready.step->tasks.size(), false), .result = {}};
+    // The place that the last task didn't take, because it waits; the next one would find the same.
+    std::optional<SinglePlace> untaken;
     std::uint32_t allowedByCap = startsWithinCap(dispatcher, *ready.job, *ready.spec, ready.step->waiting);
     for (std::uint32_t index = 0; index < ready.step->tasks.size() && allowedByCap > 0; ++index) {
         if (!canStart(index)) {
             continue;
         }
-        const SinglePlace found = chooseSingle(dispatcher, ready, ready.step->tasks[index], room, now);
+        const Task &task = ready.step->tasks[index];
+        // A task that failed elsewhere may prefer another place.
+        const bool hasFailed = task.failedOn != noWorker;
+        const SinglePlace found = untaken && !hasFailed ? *untaken : chooseSingle(dispatcher, ready, task, room, now);
+        untaken.reset();
         if (found.slot == noWorker) {
             noRoom = true;
             break;
         }
+        if (isFar(ready, dispatcher.workers.workers[found.slot])) {
+            if (!hasFailed && waitsForPlace(dispatcher, ready, waits, room, now)) {
+                waits.tasks[index] = true;
+                --allowedByCap;
+                untaken = found;
+                continue;
+            }
+            waits.result.gaveUp = true;
+        }
         room[found.slot] -= chargedSize(*ready.spec);
         --allowedByCap;
         if (!found.hasTicket) {
@@ -108,6 +166,8 @@
         }
         startTask(dispatcher, placeOf(ready, index), {.step = ready.key, .index = index}, found.slot, now);
     }
+    waits.result.noRoom = noRoom;
+    updatePlaceWait(dispatcher, ready, waits.result, now);
     if (!expired.empty()) {
         requestAdvice(dispatcher, ready, std::move(expired), now);
         return false;
@@ -116,7 +176,7 @@
         return false;
     }
     for (std::uint32_t index = 0; index < ready.step->tasks.size() && allowedByCap > 0; ++index) {
-        if (!canStart(index)) {
+        if (!canStart(index) || waits.tasks[index]) {
             continue;
         }
         if (!preemptForOne(dispatcher, ready, index, now)) {
--- a/core/dispatch/task_runs.cpp
+++ b/core/dispatch/task_runs.cpp
@@ -191,6 +191,7 @@
     task.startedAt = now;
     task.progressAt = now;
     --place.step->waiting;
+    place.job->idleSince.reset();
     Run run = makeRun(dispatcher, place, now);
     run.attempt = task.attempt;
     run.latestStart = workerClockNow(worker, now) + startWindow;
--- a/modules/cluster_metrics/cluster_metrics.cpp
+++ b/modules/cluster_metrics/cluster_metrics.cpp
@@ -22,7 +22,7 @@
     std::uint64_t DispatchCounters::*member;
 };
 
-constexpr std::array<CounterRow, 20> counterRows = {{{"accepted_jobs", &DispatchCounters::accepted},
+constexpr std::array<CounterRow, 23> counterRows = {{{"accepted_jobs", &DispatchCounters::accepted},
     {"refused_jobs", &DispatchCounters::rejected}, {"done_jobs", &DispatchCounters::jobsDone},
     {"failed_jobs", &DispatchCounters::jobsFailed}, {"cancelled_jobs", &DispatchCounters::jobsCancelled},
     {"starts_ordered", &DispatchCounters::startsOrdered}, {"starts_unanswered", &DispatchCounters::startsUnanswered},
@@ -32,7 +32,9 @@
     {"gangs_undone", &DispatchCounters::gangsAborted}, {"runs_stalled", &DispatchCounters::stalled},
     {"looks", &DispatchCounters::renewals}, {"advice_asked", &DispatchCounters::adviceRequests},
     {"commits", &DispatchCounters::commits}, {"ended_records_removed", &DispatchCounters::endsRemoved},
-    {"withdrawn_jobs", &DispatchCounters::jobsWithdrawn}}};
+    {"withdrawn_jobs", &DispatchCounters::jobsWithdrawn}, {"place_waits", &DispatchCounters::placeWaits},
+    {"place_waits_near", &DispatchCounters::placeWaitsNear},
+    {"place_waits_given_up", &DispatchCounters::placeWaitsGivenUp}}};
 
 constexpr std::array<const char *, durationKindCount> durationNames
     = {"acceptance", "first_start", "completion", "advice"};
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -131,5 +131,24 @@
     CHECK(settings->node.bounds.keepEnded == milliseconds(60000));
     CHECK(settings->node.shutdownGrace == milliseconds(5000));
     CHECK(settings->adviser.ip.empty());
+    DOUBLES_EQUAL(1.0, settings->node.bounds.remoteFactor, 0.0);
     CHECK_FALSE(platform::readNodeSettings(R"({"nodeName":"n1"})", problem).has_value());
 }
+
+// Guards against a slowdown on far places that is read wrongly, so that tasks wait where that doesn't pay.
+TEST(PlatformWire, TheSlowdownOnFarPlacesIsReadFromTheProcessSettings)
+{
+    const auto settingsWith = [this](const std::string &bounds) {
+        return platform::readNodeSettings(
+            R"({"nodeName":"n1","listen":{"frontend":"10.0.0.1:80","readiness":"10.0.0.1:81","control":"10.0.0.1:82"},
+            "limits":{"cpuShare":0.25,"cores":2},"platform":{"addr":"10.0.0.9:90"},"bounds":)"
+                + bounds + "}",
+            problem);
+    };
+    const auto settings = settingsWith(R"({"remoteFactor":1.6})");
+    CHECK(settings.has_value());
+    DOUBLES_EQUAL(1.6, settings->node.bounds.remoteFactor, 1e-9);
+    CHECK_FALSE(settingsWith(R"({"remoteFactor":"twice"})").has_value());
+    CHECK(problem.find("remoteFactor") != std::string::npos);
+    CHECK_FALSE(settingsWith(R"({"remoteFactor":-1})").has_value());
+}
