placement: count all near places that several waiting steps may take

Only as many places of a near worker were counted as the step has tasks, although tasks of earlier steps that wait for the same rack take the first of them. Of several single-task steps, only one for each near worker could wait. The places of the waiters before the step are counted too.

Two tests: waiting steps don't end a pass before less urgent steps that have room (fails if they are counted as blocked, tried), and the number of waiting steps is bounded.

Run: PlacementReplay, OK; both new tests failed before the change with 4 waits for 16 and 20.

--- a/core/dispatch/placement/near_waits.cpp
+++ b/core/dispatch/placement/near_waits.cpp
@@ -80,13 +80,14 @@
 {
     std::vector<milliseconds> times;
     const Resources size = chargedSize(*ready.spec);
-    const auto tasks = static_cast<std::uint32_t>(ready.step->tasks.size());
+    // Tasks that wait for the rack already take the first places.
+    const auto wanted = static_cast<std::uint32_t>(ready.step->tasks.size() + waitersBefore(dispatcher, rack));
     for (WorkerSlot slot = 0; slot < room.size(); ++slot) {
         const Worker &worker = dispatcher.workers.workers[slot];
         if (worker.entry.rack != rack || !isAllowed(ready, slot) || !isEligible(ready, worker, now)) {
             continue;
         }
-        const std::uint32_t limit = std::min(remainingPerWorker(ready, slot), tasks);
+        const std::uint32_t limit = std::min(remainingPerWorker(ready, slot), wanted);
         for (const milliseconds time : placeFreeTimes(size, room[slot], endingsOn(dispatcher, slot, now), limit)) {
             if (time.count() == 0 || hasTicket(dispatcher, ready, slot, now + latestNearStart(time))) {
                 times.push_back(time);
--- a/tests/dispatch/placement_replay_test.cpp
+++ b/tests/dispatch/placement_replay_test.cpp
@@ -216,3 +216,60 @@
     CHECK_TRUE(waitsWithTickets(milliseconds(1500)));
     CHECK_FALSE(waitsWithTickets(milliseconds(500)));
 }
+
+// Guards against steps that wait by choice and count as steps without room: together with those they would end the pass
+// before less urgent steps that have room.
+TEST(PlacementReplay, WaitingStepsDoNotEndThePass)
+{
+    constexpr JobId waitingSteps = 16;
+    constexpr JobId blockedSteps = 50;
+    PlacementTables tables;
+    tables.dispatcher.bounds.remoteFactor = 2.0;
+    JobSpec nearFiller{.payload = "n", .steps = {stepOf(nearCount * 4, 1000, milliseconds(800))}};
+    nearFiller.steps[0].dataRack = "near";
+    tables.addJob(1, nearFiller, "plain", milliseconds(1000));
+    // More than half of the pool is in use, so that steps beyond the limit of the pass are not examined in turn.
+    JobSpec farFiller{.payload = "f", .steps = {stepOf(workerCount - nearCount, 2000, milliseconds(9000))}};
+    farFiller.steps[0].dataRack = "far";
+    farFiller.steps[0].maxPerWorker = 1;
+    tables.addJob(2, farFiller, "plain", milliseconds(1000));
+    tables.pass();
+    tables.now += milliseconds(500);
+    for (JobId id = 100; id < 100 + blockedSteps; ++id) {
+        JobSpec spec{.payload = "b", .steps = {stepOf(1, 1000, milliseconds(2000))}};
+        spec.steps[0].requiredLabel = fmt::format("missing{}", id);
+        tables.addJob(id, spec, "plain", milliseconds(20000));
+    }
+    for (JobId id = 200; id < 200 + waitingSteps; ++id) {
+        JobSpec spec{.payload = "w", .steps = {stepOf(1, 1000, milliseconds(2000))}};
+        spec.steps[0].dataRack = "near";
+        tables.addJob(id, spec, "plain", milliseconds(21000));
+    }
+    tables.addJob(300, {.payload = "p", .steps = {stepOf(1, 1000, milliseconds(2000))}}, "plain", milliseconds(22000));
+    const std::string starts = tables.pass();
+    CHECK_EQUAL(waitingSteps, tables.dispatcher.counters.placeWaits);
+    CHECK(starts.starts_with(formatTaskKey({.step = {.job = 300}})));
+}
+
+// Guards against passes that grow with the number of waiting steps: further ones start on far places.
+TEST(PlacementReplay, TheNumberOfWaitingStepsIsBounded)
+{
+    PlacementTables tables;
+    tables.dispatcher.bounds.remoteFactor = 2.0;
+    JobSpec filler{.payload = "n", .steps = {stepOf(nearCount * 40, 100, milliseconds(800))}};
+    filler.steps[0].dataRack = "near";
+    filler.steps[0].size.memoryMib = 10;
+    tables.addJob(1, filler, "plain", milliseconds(1000));
+    for (int i = 0; i < 4; ++i) {
+        tables.pass();
+    }
+    tables.now += milliseconds(500);
+    for (JobId id = 2; id < 42; ++id) {
+        JobSpec spec{.payload = "w", .steps = {stepOf(1, 100, milliseconds(2000))}};
+        spec.steps[0].dataRack = "near";
+        tables.addJob(id, spec, "plain", milliseconds(20000));
+    }
+    tables.pass();
+    CHECK_EQUAL(20, tables.dispatcher.counters.placeWaits);
+    CHECK_EQUAL(20, tables.dispatcher.orders.size());
+}
