placement: look at each worker once for a gang that may wait

For a gang that may wait for a rack, all workers were compared for each rack, so that a pass grew with racks x workers. The places are now collected by rack in one turn through the workers, and only if the shortest possible wait pays.

--- a/core/dispatch/placement/near_waits.cpp
+++ b/core/dispatch/placement/near_waits.cpp
@@ -6,7 +6,7 @@
 #include "core/log.h"
 
 #include <algorithm>
-#include <set>
+#include <map>
 #include <string>
 
 namespace wigeonkeel::dispatch
@@ -59,6 +59,25 @@
     return dispatcher.bounds.remoteFactor > 1.0 && isBound && !spec.longRunning;
 }
 
+/// Adds the expected times until places for the step's tasks are free on the worker; at most `wanted` places.
+void addPlaceTimes(Dispatcher &dispatcher, const ReadyStep &ready, WorkerSlot slot, const Resources &room,
+    std::uint32_t wanted, MonotonicTime now, std::vector<milliseconds> &times)
+{
+    const std::uint32_t limit = std::min(remainingPerWorker(ready, slot), wanted);
+    const std::vector<RunEnding> endings = endingsOn(dispatcher, slot, now);
+    for (const milliseconds time : placeFreeTimes(chargedSize(*ready.spec), room, endings, limit)) {
+        if (time.count() == 0 || hasTicket(dispatcher, ready, slot, now + latestNearStart(time))) {
+            times.push_back(time);
+        }
+    }
+}
+
+/// Number of places on the rack that count for the step's tasks: those that wait for it already take the first ones.
+std::uint32_t placesWanted(const Dispatcher &dispatcher, const ReadyStep &ready, std::string_view rack)
+{
+    return static_cast<std::uint32_t>(ready.step->tasks.size() + waitersBefore(dispatcher, rack));
+}
+
 bool hasRuns(const Job &job)
 {
     return std::ranges::any_of(job.occurrences, [](const Occurrence &occurrence) {
@@ -69,29 +88,22 @@
 
 } // namespace
 
-bool canWaitForPlace(const Dispatcher &dispatcher, const ReadyStep &ready)
+bool canWaitForPlace(const Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
 {
+    // What doesn't pay for the shortest wait pays for none; the ends on near workers needn't be looked at then.
     return hasNearPlaces(dispatcher, *ready.spec) && !ready.step->placeWait.isOver
-        && dispatcher.placeWaits.steps < maxWaitingSteps;
+        && dispatcher.placeWaits.steps < maxWaitingSteps && paysToWaitFor(dispatcher, ready, milliseconds(0), now);
 }
 
 std::vector<milliseconds> nearPlaceTimes(Dispatcher &dispatcher, const ReadyStep &ready, std::string_view rack,
     std::span<const Resources> room, MonotonicTime now)
 {
     std::vector<milliseconds> times;
-    const Resources size = chargedSize(*ready.spec);
-    // Tasks that wait for the rack already take the first places.
-    const auto wanted = static_cast<std::uint32_t>(ready.step->tasks.size() + waitersBefore(dispatcher, rack));
+    const std::uint32_t wanted = placesWanted(dispatcher, ready, rack);
     for (WorkerSlot slot = 0; slot < room.size(); ++slot) {
         const Worker &worker = dispatcher.workers.workers[slot];
-        if (worker.entry.rack != rack || !isAllowed(ready, slot) || !isEligible(ready, worker, now)) {
-            continue;
-        }
-        const std::uint32_t limit = std::min(remainingPerWorker(ready, slot), wanted);
-        for (const milliseconds time : placeFreeTimes(size, room[slot], endingsOn(dispatcher, slot, now), limit)) {
-            if (time.count() == 0 || hasTicket(dispatcher, ready, slot, now + latestNearStart(time))) {
-                times.push_back(time);
-            }
+        if (worker.entry.rack == rack && isAllowed(ready, slot) && isEligible(ready, worker, now)) {
+            addPlaceTimes(dispatcher, ready, slot, room[slot], wanted, now, times);
         }
     }
     std::ranges::sort(times);
@@ -173,21 +185,27 @@
 
 bool waitsForRack(Dispatcher &dispatcher, const ReadyStep &ready, std::span<const Resources> room, MonotonicTime now)
 {
-    if (!canWaitForPlace(dispatcher, ready)) {
+    if (!canWaitForPlace(dispatcher, ready, now)) {
         return false;
     }
-    std::set<std::string_view> racks;
-    for (const Worker &worker : dispatcher.workers.workers) {
-        if (isEligible(ready, worker, now)) {
-            racks.insert(worker.entry.rack);
+    std::map<std::string_view, std::vector<milliseconds>> timesByRack;
+    for (WorkerSlot slot = 0; slot < room.size(); ++slot) {
+        const Worker &worker = dispatcher.workers.workers[slot];
+        if (isAllowed(ready, slot) && isEligible(ready, worker, now)) {
+            const std::string_view rack = worker.entry.rack;
+            addPlaceTimes(
+                dispatcher, ready, slot, room[slot], placesWanted(dispatcher, ready, rack), now, timesByRack[rack]);
         }
     }
     const std::size_t members = ready.step->tasks.size();
     PlaceWaitResult best;
-    for (const std::string_view rack : racks) {
-        const std::vector<milliseconds> times = nearPlaceTimes(dispatcher, ready, rack, room, now);
+    for (auto &[rack, times] : timesByRack) {
         const std::size_t last = waitersBefore(dispatcher, rack) + members - 1;
-        if (last < times.size() && (best.waiting == 0 || times[last] < best.freeIn)) {
+        if (last >= times.size()) {
+            continue;
+        }
+        std::ranges::sort(times);
+        if (best.waiting == 0 || times[last] < best.freeIn) {
             best = {.waiting = static_cast<std::uint32_t>(members), .rack = rack, .freeIn = times[last]};
         }
     }
--- a/core/dispatch/placement/near_waits.h
+++ b/core/dispatch/placement/near_waits.h
@@ -9,8 +9,8 @@
 namespace wigeonkeel::dispatch
 {
 
-/// The step's tasks run longer on far places, and it may wait in this pass.
-bool canWaitForPlace(const Dispatcher &dispatcher, const ReadyStep &ready);
+/// Whether the step's tasks run longer on far places, it may wait in this pass, and at least the shortest wait pays.
+bool canWaitForPlace(const Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now);
 
 /// Expected times until places for the step's tasks are free on the workers of the rack, soonest first; 0 for places
 /// that are free now. Places whose ticket expires before are left out.
--- a/core/dispatch/placement/single_placement.cpp
+++ b/core/dispatch/placement/single_placement.cpp
@@ -90,7 +90,7 @@
 bool waitsForPlace(Dispatcher &dispatcher, const ReadyStep &ready, NearWaits &waits, std::span<const Resources> room,
     MonotonicTime now)
 {
-    if (!canWaitForPlace(dispatcher, ready)) {
+    if (!canWaitForPlace(dispatcher, ready, now)) {
         return false;
     }
     const std::string_view rack = ready.spec->dataRack;
