--- a/core/dispatch/placement/gang_placement.cpp
+++ b/core/dispatch/placement/gang_placement.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/placement/gang_placement.h"
 
 #include "core/dispatch/placement/advice_requests.h"
+#include "core/dispatch/placement/near_waits.h"
 #include "core/dispatch/placement/place_plans.h"
 #include "core/dispatch/placement/preemption.h"
 #include "core/dispatch/placement/worker_room.h"
@@ -72,6 +73,14 @@
         spaces, [&spaces](const GangSpace &space) { return space.speedClass != spaces.front().speedClass; });
 }
 
+bool isOnOneRack(const Dispatcher &dispatcher, std::span<const PlannedPlace> plan)
+{
+    const auto rackOf = [&dispatcher](const PlannedPlace &place) -> const std::string & {
+        return dispatcher.workers.workers[place.worker].entry.rack;
+    };
+    return std::ranges::all_of(plan, [&](const PlannedPlace &place) { return rackOf(place) == rackOf(plan.front()); });
+}
+
 } // namespace
 
 std::optional<std::vector<PlannedPlace>> placeGang(const Dispatcher &dispatcher, const ReadyStep &ready,
@@ -126,7 +135,13 @@
             return;
         }
     }
-    auto plan = placeGang(dispatcher, ready, roomOfWorkers(dispatcher), GangSpeeds::Alike, now);
+    const std::vector<Resources> room = roomOfWorkers(dispatcher);
+    auto plan = placeGang(dispatcher, ready, room, GangSpeeds::Alike, now);
+    const bool onOneRack = plan && isOnOneRack(dispatcher, *plan);
+    if (plan && !onOneRack && waitsForRack(dispatcher, ready, room, now)) {
+        return;
+    }
+    updatePlaceWait(dispatcher, ready, {.gaveUp = plan && !onOneRack, .noRoom = !plan}, now);
     if (plan) {
         reserve(dispatcher, ready, *plan, now + planSlack + adviceTime(ready, ready.step->tasks.size()) * 2);
         if (renewPlannedTickets(dispatcher, ready, now, now)) {
