tenants: name keys by their path in the configuration and bound caps

findTenantProblem() named a key's path tenants[i].keys[j], which the operator's configuration doesn't have, and left caps above 2^53 to one of its callers. It names apiKeys and checks both bounds.

--- a/core/tenants/tenant_config.cpp
+++ b/core/tenants/tenant_config.cpp
@@ -1,5 +1,8 @@
 #include "core/tenants/tenant_config.h"
 
+#include "core/json_text.h"
+
+#include <algorithm>
 #include <cmath>
 #include <string_view>
 
@@ -25,17 +28,18 @@
         if (!std::isfinite(tenant.weight) || tenant.weight < 0) {
             return fmt::format("tenants[{}].weight: expected a number that is not negative", position);
         }
-        if (isNegative(tenant.cap)) {
-            return fmt::format("tenants[{}].cap: expected amounts that are not negative", position);
+        const Resources &cap = tenant.cap;
+        if (isNegative(cap) || std::max({cap.cpuMilli, cap.memoryMib, cap.accelerators}) > tenantCapRange.most) {
+            return fmt::format("tenants[{}].cap: expected amounts from 0 to 2^53", position);
         }
         for (std::size_t number = 0; number < tenant.keys.size(); ++number) {
             const std::string_view key = tenant.keys[number];
             if (key.empty()) {
-                return fmt::format("tenants[{}].keys[{}]: a key is empty", position, number);
+                return fmt::format("tenants[{}].apiKeys[{}]: a key is empty", position, number);
             }
             const auto [owner, isNew] = owners.emplace(key, position);
             if (!isNew && owner->second != position) {
-                return fmt::format("tenants[{}].keys[{}]: tenant '{}' has the same key", position, number,
+                return fmt::format("tenants[{}].apiKeys[{}]: tenant '{}' has the same key", position, number,
                     tenants[owner->second].name);
             }
         }
