--- a/tests/platform/cluster_codec_test.cpp
+++ b/tests/platform/cluster_codec_test.cpp
@@ -77,6 +77,53 @@
     CHECK(decoded.limits.maxBodyBytes == 2 && decoded.limits.idleTimeout == milliseconds(4));
 }
 
+// Guards against a list of tenants, or a call's tenant, that is lost or altered between daemons: an empty list closes
+// all routes, no list opens them.
+TEST(ClusterCodec, TenantsAreUnchangedAfterARoundTrip)
+{
+    Configuration configuration{
+        .version = 9, .queues = {{.name = "open", .isPublic = true}, {.name = "closed"}}, .pools = {}};
+    const auto sent = [&configuration] {
+        const auto body = roundTrip(ConfigurationTransfer{.configuration = configuration});
+        CHECK(body.has_value());
+        return std::get<ConfigurationTransfer>(*body).configuration;
+    };
+    CHECK_FALSE(sent().tenants.has_value());
+    CHECK(sent().queues[0].isPublic && !sent().queues[1].isPublic);
+    configuration.tenants.emplace();
+    CHECK(sent().tenants.has_value() && sent().tenants->empty());
+    configuration.tenants = {{.name = "a b",
+                                 .keys = {"k1", std::string("\x80\xff=")},
+                                 .weight = 0.25,
+                                 .cap = {.cpuMilli = 1, .memoryMib = std::int64_t{1} << 53, .accelerators = 3}},
+        {.name = "c", .keys = {}, .weight = 0}};
+    const auto tenants = sent().tenants;
+    CHECK(tenants.has_value());
+    CHECK_EQUAL(2U, tenants->size());
+    for (std::size_t i = 0; i < tenants->size(); ++i) {
+        const TenantConfig &expected = configuration.tenants->at(i);
+        CHECK(tenants->at(i).name == expected.name && tenants->at(i).keys == expected.keys);
+        CHECK(tenants->at(i).cap == expected.cap);
+        DOUBLES_EQUAL(expected.weight, tenants->at(i).weight, 0.0);
+    }
+}
+
+// Guards against a leader that takes a call for one of another tenant, or of none, and answers that change on the way.
+TEST(ClusterCodec, TheTenantOfACallIsUnchangedAfterARoundTrip)
+{
+    const auto call = roundTrip(ForwardedCall{.call = {.call = 7, .tenant = "a b", .isRestricted = true}});
+    CHECK(call.has_value());
+    CHECK(std::get<ForwardedCall>(*call).call.tenant == "a b" && std::get<ForwardedCall>(*call).call.isRestricted);
+    const auto open = roundTrip(ForwardedCall{.call = {.call = 7}});
+    CHECK(open.has_value());
+    CHECK(std::get<ForwardedCall>(*open).call.tenant.empty() && !std::get<ForwardedCall>(*open).call.isRestricted);
+    const auto answer
+        = roundTrip(ForwardedAnswer{.answer = {.call = 7, .outcome = ClientOutcome::Forbidden, .detail = "why"}});
+    CHECK(answer.has_value());
+    CHECK(std::get<ForwardedAnswer>(*answer).answer.outcome == ClientOutcome::Forbidden);
+    CHECK(std::get<ForwardedAnswer>(*answer).answer.detail == "why");
+}
+
 // Guards against reading past the end of a truncated frame or of one from another protocol.
 TEST(ClusterCodec, TruncatedFramesAreRejected)
 {
@@ -96,12 +143,18 @@
 {
     const Configuration configuration{.version = 9,
         .queues = {{.name = "a", .host = "h", .pathPrefix = "/a/", .pool = "p", .advice = AdviceTimes{}}},
-        .pools = {{.name = "p"}}};
+        .pools = {{.name = "p"}},
+        .tenants = std::vector<TenantConfig>{{.name = "t", .keys = {"k"}, .cap = {.cpuMilli = 5}}}};
     return {Presence{.node = "n9",
                 .leader = {.token = 5, .node = "n8", .endpoint = {.ip = "1.2.3.4", .port = 6}, .identity = 9},
                 .cpuMilli = 500,
                 .number = 7},
-        ForwardedCall{.call = {.call = 1, .queue = "batch", .job = 0x1, .wait = milliseconds(300)}},
+        ForwardedCall{.call = {.call = 1,
+                          .queue = "batch",
+                          .job = 0x1,
+                          .tenant = "t",
+                          .isRestricted = true,
+                          .wait = milliseconds(300)}},
         ForwardedCall{.call = {.call = 1, .kind = ClientCallKind::Submit, .queue = "batch", .job = 2, .record = "{}"}},
         ForwardedAnswer{.answer = {.call = 1, .outcome = ClientOutcome::Ok, .retryAfter = milliseconds(5)}},
         AdviceOrder{.request = {.call = 2, .workers = {"w0", "w1"}, .timeout = milliseconds(90)}},
