--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -309,8 +309,9 @@
     const JobRecord record{.id = id,
         .queue = *findQueueByName(configuration, std::string(queue)),
         .submittedAt = nowAt(at).wall,
-        .spec = spec};
-    m_sentCalls[call] = {.kind = ClientCallKind::Submit, .job = id, .sentAt = time};
+        .spec = spec,
+        .tenant = tenantOf(id)};
+    m_sentCalls[call] = {.kind = ClientCallKind::Submit, .job = id, .sentAt = time, .tenant = tenantOf(id)};
     submittedAt.try_emplace(id, time);
     specs.try_emplace(id, spec);
     handleClientCall(node,
@@ -318,17 +319,54 @@
             .kind = ClientCallKind::Submit,
             .queue = std::string(queue),
             .job = id,
-            .record = encodeJobRecord(record)},
+            .record = encodeJobRecord(record),
+            .tenant = tenantOf(id),
+            .isRestricted = configuration.tenants.has_value()},
         timeLeft, nowAt(at));
     return call;
 }
 
+CallId World::callAs(std::size_t at, ClientCallKind kind, JobId id, std::string_view tenant)
+{
+    Node &node = *nodes[at].node;
+    const CallId call = node.outbox.newCall();
+    const JobRecord record{.id = id,
+        .queue = *findQueueByName(configuration, "batch"),
+        .submittedAt = nowAt(at).wall,
+        .spec = specs[id],
+        .tenant = std::string(tenant)};
+    m_sentCalls[call] = {.kind = kind, .job = id, .sentAt = time, .tenant = std::string(tenant)};
+    handleClientCall(node,
+        {.call = call,
+            .kind = kind,
+            .queue = "batch",
+            .job = id,
+            .record = kind == ClientCallKind::Submit ? encodeJobRecord(record) : std::string(),
+            .tenant = std::string(tenant),
+            .isRestricted = true},
+        milliseconds(3000), nowAt(at));
+    return call;
+}
+
+std::string World::tenantOf(JobId id) const
+{
+    const auto found = tenants.find(id);
+    return found == tenants.end() ? std::string() : found->second;
+}
+
 CallId World::call(std::size_t at, ClientCallKind kind, JobId id, std::string_view queue)
 {
     Node &node = *nodes[at].node;
     const CallId call = node.outbox.newCall();
-    m_sentCalls[call] = {.kind = kind, .job = id, .sentAt = time};
-    handleClientCall(node, {.call = call, .kind = kind, .queue = std::string(queue), .job = id, .record = {}},
+    m_sentCalls[call] = {.kind = kind, .job = id, .sentAt = time, .tenant = tenantOf(id)};
+    handleClientCall(node,
+        {.call = call,
+            .kind = kind,
+            .queue = std::string(queue),
+            .job = id,
+            .record = {},
+            .tenant = tenantOf(id),
+            .isRestricted = configuration.tenants.has_value()},
         milliseconds(3000), nowAt(at));
     return call;
 }
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -189,6 +189,8 @@
     CallId submit(std::size_t at, JobId id, const JobSpec &spec, std::string_view queue,
         milliseconds timeLeft = milliseconds(3000));
     CallId call(std::size_t at, ClientCallKind kind, JobId id, std::string_view queue);
+    /// Sends a call with the key of a tenant, which need not be the job's. A submission repeats the job's.
+    CallId callAs(std::size_t at, ClientCallKind kind, JobId id, std::string_view tenant);
     std::optional<ClientAnswer> answerTo(CallId call) const;
     /// Sends a client's call about a job to a daemon and runs until the answer; empty after 4 s without one.
     std::optional<ClientAnswer> ask(std::size_t at, ClientCallKind kind, JobId id);
@@ -216,6 +218,9 @@
     Node *leader();
     std::size_t leaderIndex() const;
 
+    /// What workers run of the tenant's jobs.
+    Resources runningOf(std::string_view tenant) const;
+
     /// The time as a clock without offsets shows it.
     Now now() const;
     /// The time as the daemon's clocks show it.
@@ -227,6 +232,8 @@
     RunHistory history;
     /// Specifications of the submitted jobs.
     std::map<JobId, JobSpec> specs;
+    /// Tenants whose keys the submissions carry; jobs that are not named have none.
+    std::map<JobId, std::string> tenants;
 
     milliseconds time{1000};
     RandomState random;
@@ -266,6 +273,7 @@
         ClientCallKind kind = ClientCallKind::Query;
         JobId job = 0;
         milliseconds sentAt{0};
+        std::string tenant;
     };
 
     struct Event
@@ -322,6 +330,8 @@
     void beginClock(std::size_t worker);
     void extendLease(WorldWorker &worker, WorkerTime until);
     void checkStart(const WorldRun &run, const WorldWorker &target);
+    void checkCap(const WorldRun &run, const WorldWorker &target);
+    std::string tenantOf(JobId id) const;
     const StepSpec *specOf(const TaskKey &task);
     void report(std::vector<std::string> broken);
     WorkerTime clockOf(const WorldWorker &worker) const;
--- a/tests/dispatch/dispatch_world_calls.cpp
+++ b/tests/dispatch/dispatch_world_calls.cpp
@@ -375,6 +375,14 @@
     const std::string where = fmt::format("by {} at {} ms", node, time.count());
     const CallTimes times{.sentAt = sent.sentAt, .answeredAt = time};
     const bool ok = answer.outcome == ClientOutcome::Ok;
+    const std::string tenant = tenantOf(sent.job);
+    if (!tenant.empty() && sent.tenant != tenant) {
+        if (ok) {
+            violations.push_back(fmt::format("FOREIGN: a call of {} about job {} of {} was served {}", sent.tenant,
+                formatJobId(sent.job), tenant, where));
+        }
+        return;
+    }
     if (sent.kind == ClientCallKind::Submit && ok) {
         recordAccepted(history, sent.job, time);
     } else if (sent.kind == ClientCallKind::Cancel && (ok || answer.outcome == ClientOutcome::NoSuchJob)) {
--- a/tests/dispatch/dispatch_world_workers.cpp
+++ b/tests/dispatch/dispatch_world_workers.cpp
@@ -204,8 +204,37 @@
     return {.call = order.call, .status = CallStatus::Ok};
 }
 
+Resources World::runningOf(std::string_view tenant) const
+{
+    Resources running;
+    for (const WorldWorker &worker : workers) {
+        for (const WorldRun &run : worker.runs) {
+            running += tenantOf(run.task.step.job) == tenant ? run.size : Resources{};
+        }
+    }
+    return running;
+}
+
+void World::checkCap(const WorldRun &run, const WorldWorker &target)
+{
+    const std::string tenant = tenantOf(run.task.step.job);
+    if (tenant.empty() || !configuration.tenants) {
+        return;
+    }
+    const auto found = std::ranges::find(*configuration.tenants, tenant, &TenantConfig::name);
+    const Resources cap = found == configuration.tenants->end() ? Resources{} : found->cap;
+    const Resources running = runningOf(tenant) + run.size;
+    const auto exceeds = [](std::int64_t used, std::int64_t limit) { return limit > 0 && used > limit; };
+    if (exceeds(running.cpuMilli, cap.cpuMilli) || exceeds(running.memoryMib, cap.memoryMib)
+        || exceeds(running.accelerators, cap.accelerators)) {
+        violations.push_back(fmt::format("CAP: {} runs {} with a cap of {} after the start of {} on {} at {} ms",
+            tenant, describe(running), describe(cap), formatTaskKey(run.task), target.entry.id, time.count()));
+    }
+}
+
 void World::checkStart(const WorldRun &run, const WorldWorker &target)
 {
+    checkCap(run, target);
     for (const WorldWorker &other : workers) {
         if (std::ranges::find(other.runs, run.task, &WorldRun::task) != other.runs.end()) {
             violations.push_back(fmt::format("TWICE-overlap: {} runs twice at {} ms, attempt {} on {} and on {}",
--- a/tests/dispatch/random_faults.h
+++ b/tests/dispatch/random_faults.h
@@ -56,6 +56,8 @@
     std::size_t workers = 5;
     std::uint64_t failPercent = 0;
     bool lateOrdersReachNextIncarnation = false;
+    /// Two thirds of the jobs belong to two tenants with caps, and clients call with the key of the wrong one too.
+    bool hasTenants = false;
     /// Logs the simulated time and the faults between the daemons' own lines.
     bool trace = false;
     std::vector<PlannedJob> jobs;
@@ -86,6 +88,8 @@
     std::size_t starts = 0;
     std::size_t jobsAccepted = 0;
     std::size_t jobsEnded = 0;
+    /// Calls about jobs of other tenants that were refused with Forbidden.
+    std::size_t foreignRefused = 0;
     /// Revisions at which claims were written.
     std::set<std::uint64_t> claims;
 };
--- a/tests/dispatch/random_faults_test.cpp
+++ b/tests/dispatch/random_faults_test.cpp
@@ -15,6 +15,7 @@
 {
 
 constexpr std::uint64_t defaultSeeds = 200;
+constexpr std::uint64_t defaultTenantSeeds = 60;
 constexpr std::uint64_t firstSeed = 1;
 
 std::uint64_t numberFromEnvironment(const char *name, std::uint64_t fallback)
@@ -23,15 +24,15 @@
     return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
 }
 
-/// Returns the number of jobs that ended.
-std::size_t checkSeed(std::uint64_t seed)
+PlayResult checkSeed(std::uint64_t seed, bool hasTenants)
 {
     const FaultMix &mix = faultMixes()[seed % faultMixes().size()];
-    const FaultPlan plan = drawPlan(seed, mix);
-    const PlayResult result = playPlan(plan);
+    FaultPlan plan = drawPlan(seed, mix);
+    plan.hasTenants = hasTenants;
+    PlayResult result = playPlan(plan);
     const std::vector<std::string> &broken = result.violations;
     if (broken.empty()) {
-        return result.jobsEnded;
+        return result;
     }
     FaultPlan least = minimisePlan(plan, broken.front());
     if (std::getenv("WIGEONKEEL_TRACE") != nullptr) {
@@ -42,7 +43,7 @@
     FAIL(fmt::format("{} (mix {})\n{}after minimising: {}", broken.front(), mix.name, describePlan(least),
         remaining.empty() ? "none" : remaining.front())
              .c_str());
-    return 0;
+    return result;
 }
 
 } // namespace
@@ -69,6 +70,19 @@
     const std::uint64_t count = numberFromEnvironment("WIGEONKEEL_SEEDS", defaultSeeds);
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
         // Guards against a world in which nothing runs and therefore nothing breaks.
-        CHECK(checkSeed(seed) > 0);
+        CHECK(checkSeed(seed, false).jobsEnded > 0);
+    }
+}
+
+// Guards against starts above a tenant's cap and calls that are served with another tenant's key, under the same
+// faults. WIGEONKEEL_TENANT_SEEDS=N plays N seeds, from WIGEONKEEL_FIRST_SEED on.
+TEST(DispatchRandomFaults, RulesOfTenantsHoldUnderOverlappingFaults)
+{
+    const std::uint64_t first = numberFromEnvironment("WIGEONKEEL_FIRST_SEED", firstSeed);
+    const std::uint64_t count = numberFromEnvironment("WIGEONKEEL_TENANT_SEEDS", defaultTenantSeeds);
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        const PlayResult result = checkSeed(seed, true);
+        CHECK(result.jobsEnded > 0);
+        CHECK(result.foreignRefused > 0);
     }
 }
--- a/tests/dispatch/random_plans.cpp
+++ b/tests/dispatch/random_plans.cpp
@@ -25,6 +25,10 @@
 constexpr milliseconds clientPatience{3500};
 /// Time after a late copy in which a job that it starts again is seen.
 constexpr milliseconds copyTime{3000};
+/// Names of the tenants of plans that have some. A gang of a plan takes up to 5 cores, so that it fits into either cap.
+constexpr std::array<std::string_view, 2> tenantNames{"alder", "birch"};
+constexpr std::array<std::int64_t, 2> tenantCapsMilli{5500, 7000};
+constexpr std::array<double, 2> tenantWeights{0.5, 4.0};
 /// How long after its start a task of a cancelled job may work, even if the worker carried the order out late:
 /// contactMs, cancel_ms and stopMs of the platform's contract.
 constexpr milliseconds longestCancelledRun = milliseconds(3000) + cancelLimit + milliseconds(900);
@@ -171,6 +175,8 @@
     /// When the last late copy arrives.
     milliseconds lastCopyAt{0};
     bool trace = false;
+    /// Calls with the key of another tenant than the job's.
+    std::vector<CallId> foreignCalls;
 };
 
 /// A daemon that takes calls; the number of daemons if there is none.
@@ -312,6 +318,35 @@
     play.world.call(node, ClientCallKind::Query, job->first, "batch");
 }
 
+/// Tenant of a plan's job; empty for none.
+std::string_view tenantOf(const FaultPlan &plan, JobId id)
+{
+    const std::size_t tenant = id % (tenantNames.size() + 1);
+    return !plan.hasTenants || tenant == tenantNames.size() ? std::string_view() : tenantNames.at(tenant);
+}
+
+/// A client of the other tenant asks for an accepted job, or cancels it.
+void callWithForeignKey(Play &play)
+{
+    if (play.world.tenants.empty()) {
+        return;
+    }
+    const std::size_t node = entryNode(play);
+    if (node == play.world.nodes.size()) {
+        return;
+    }
+    auto owned = play.world.tenants.begin();
+    std::advance(owned, randomBelow(play.random, play.world.tenants.size()));
+    const auto submission = play.submissions.find(owned->first);
+    if (submission == play.submissions.end() || !submission->second.accepted) {
+        return;
+    }
+    const bool cancels = randomBelow(play.random, 2) == 0;
+    const std::string_view other = owned->second == tenantNames[0] ? tenantNames[1] : tenantNames[0];
+    play.foreignCalls.push_back(
+        play.world.callAs(node, cancels ? ClientCallKind::Cancel : ClientCallKind::Query, owned->first, other));
+}
+
 bool isSettled(const Play &play)
 {
     return std::ranges::all_of(play.submissions, [&play](const auto &entry) {
@@ -335,6 +370,7 @@
         play.claims.insert(leader->leadership.leader.token);
     }
     askForJobs(play);
+    callWithForeignKey(play);
 }
 
 /// Whether a task or gang of the job has failed as often as its queue allows.
@@ -414,6 +450,20 @@
     for (std::size_t node = 0; node < world.nodes.size(); ++node) {
         world.drawClocks(node);
     }
+    if (plan.hasTenants) {
+        world.configuration.tenants.emplace();
+        for (std::size_t i = 0; i < tenantNames.size(); ++i) {
+            world.configuration.tenants->push_back({.name = std::string(tenantNames.at(i)),
+                .keys = {},
+                .weight = tenantWeights.at(i),
+                .cap = {.cpuMilli = tenantCapsMilli.at(i)}});
+        }
+        for (const PlannedJob &job : plan.jobs) {
+            if (const std::string_view tenant = tenantOf(plan, job.id); !tenant.empty()) {
+                world.tenants[job.id] = std::string(tenant);
+            }
+        }
+    }
     world.stopTime = milliseconds(between(play.random, 50, 800));
     for (WorldWorker &worker : world.workers) {
         worker.clockStart = -milliseconds(randomBelow(play.random, 500000));
@@ -477,7 +527,8 @@
         .ended = {},
         .claims = {},
         .lastCopyAt = {},
-        .trace = plan.trace};
+        .trace = plan.trace,
+        .foreignCalls = {}};
     setUp(play, plan);
     play.world.run(settleTime);
     for (const PlannedJob &job : plan.jobs) {
@@ -505,10 +556,15 @@
     checkCancelledRuns(play);
     const auto accepted
         = std::ranges::count_if(play.submissions, [](const auto &entry) { return entry.second.accepted; });
+    const auto foreignRefused = std::ranges::count_if(play.foreignCalls, [&play](CallId call) {
+        const auto answer = play.world.answerTo(call);
+        return answer && answer->outcome == ClientOutcome::Forbidden;
+    });
     return {.violations = std::move(play.world.violations),
         .starts = play.world.starts,
         .jobsAccepted = static_cast<std::size_t>(accepted),
         .jobsEnded = play.ended.size(),
+        .foreignRefused = static_cast<std::size_t>(foreignRefused),
         .claims = std::move(play.claims)};
 }
 
