dispatch: reject invalid tenants in another daemon's configuration

A version from the store is checked before it comes into force; one that another daemon sent was not, so an empty key or a weight that is no number could replace the last good version. It is checked and logged by its path.

Run: wigeonkeel_tests -sg DispatchTenantAccess; its test of this failed before.

--- a/core/dispatch/configuration_watch.cpp
+++ b/core/dispatch/configuration_watch.cpp
@@ -122,6 +122,14 @@
     if (!isNewer(node, transfer.configuration)) {
         return;
     }
+    const std::string problem = findTenantProblem(
+        transfer.configuration.tenants ? *transfer.configuration.tenants : std::span<const TenantConfig>());
+    if (!problem.empty()) {
+        logLine(LogLevel::Error, logPart,
+            "The configuration of another daemon is not valid. node={} version={} problem=\"{}\"", from,
+            transfer.configuration.version, problem);
+        return;
+    }
     // The indexes are not part of the message. For settings from the store, the adapter builds them.
     Configuration copy = transfer.configuration;
     indexQueues(copy);
