dispatch: a pool without free memory is full

Excess is rejected while the pool is full, which looked at processors only: in a pool bound by memory, excess piled up without a limit. Memory counts too. The tests cover the order of excess and entitled work in placement, advice and pre-emption, fair shares, and the named loads of tenants.

Run: wigeonkeel_tests -g DispatchTenantShares and -g DispatchTenantLoads; APoolIsFullWithoutFreeMemory failed before.

--- a/core/dispatch/tenant_state.cpp
+++ b/core/dispatch/tenant_state.cpp
@@ -15,7 +15,7 @@
 {
 
 constexpr std::string_view logPart = "tenants";
-/// From this share of its processors in use, jobs of a pool wait for each other.
+/// From this share of its processors or memory in use, jobs of a pool wait for each other.
 constexpr double fullPoolShare = 0.9;
 /// Inherited jobs that were submitted longer ago don't count against the rate: by then the bucket has refilled.
 constexpr milliseconds rateMemory{1000};
@@ -31,7 +31,10 @@
             capacity += worker.entry.capacity;
         }
     }
-    return static_cast<double>(used.cpuMilli) >= fullPoolShare * static_cast<double>(capacity.cpuMilli);
+    const auto isFull = [](std::int64_t part, std::int64_t whole) {
+        return static_cast<double>(part) >= fullPoolShare * static_cast<double>(whole);
+    };
+    return isFull(used.cpuMilli, capacity.cpuMilli) || isFull(used.memoryMib, capacity.memoryMib);
 }
 
 Resources multiplied(const Resources &size, std::int64_t count)
