dispatch: keep starts within caps in three more cases

A gang whose reserved places became invalid because the cap was lowered got new ones without a look at the cap. After a takeover, tasks of steps that the stored progress doesn't show as open did not count until they were found, and neither did those of an inherited job that ended before the discovery of runs had finished; its end record left them out as well. All of them count now.

Run: wigeonkeel_tests -sg DispatchTenantCaps; the three tests failed before. 2,000 random plays with tenants, none broken.

--- a/core/dispatch/placement/gang_placement.cpp
+++ b/core/dispatch/placement/gang_placement.cpp
@@ -4,6 +4,7 @@
 #include "core/dispatch/placement/place_plans.h"
 #include "core/dispatch/placement/preemption.h"
 #include "core/dispatch/placement/worker_room.h"
+#include "core/dispatch/tenant_state.h"
 
 #include <algorithm>
 #include <map>
@@ -96,6 +97,11 @@
             return;
         }
     }
+    // The cap may have been lowered while the gang had reserved places.
+    const auto members = static_cast<std::uint32_t>(ready.step->tasks.size());
+    if (startsWithinCap(dispatcher, *ready.job, *ready.spec, members) < members) {
+        return;
+    }
     auto plan = placeGang(dispatcher, ready, roomOfWorkers(dispatcher), now);
     if (plan) {
         reserve(dispatcher, ready, *plan, now + planSlack + adviceTime(ready, ready.step->tasks.size()) * 2);
--- a/core/dispatch/task_runs.cpp
+++ b/core/dispatch/task_runs.cpp
@@ -411,6 +411,7 @@
                 now.monotonic);
         }
     }
+    countRunsNotFoundAtEnd(dispatcher, job);
     job.state = state;
     job.commitAfter = now.monotonic;
     dispatcher.unstoredJobs.insert(job.record.id);
--- a/core/dispatch/tenant_state.cpp
+++ b/core/dispatch/tenant_state.cpp
@@ -45,6 +45,19 @@
         .slots = size.slots * count};
 }
 
+/// Tasks of an inherited job that may run on a worker whose runs are not known yet. Steps that aren't open count too:
+/// the former leader may have opened one before it stored the end of the preceding step.
+Resources runsNotFound(const Job &job)
+{
+    Resources notFound;
+    for (const Occurrence &occurrence : job.occurrences) {
+        for (std::size_t number = 0; number < occurrence.steps.size(); ++number) {
+            notFound += multiplied(chargedSize(job.record.spec.steps[number]), occurrence.steps[number].waiting);
+        }
+    }
+    return notFound;
+}
+
 } // namespace
 
 std::string findCapProblem(const TenantState &tenant, const JobSpec &spec)
@@ -115,15 +128,14 @@
         if (!job->inherited || isEnded(job->state)) {
             continue;
         }
-        Resources &notFound = dispatcher.tenants.rows[job->tenant].notFound;
-        for (const Occurrence &occurrence : job->occurrences) {
-            for (std::size_t number = 0; number < occurrence.steps.size(); ++number) {
-                const StepRun &step = occurrence.steps[number];
-                if (step.open) {
-                    notFound += multiplied(chargedSize(job->record.spec.steps[number]), step.waiting);
-                }
-            }
-        }
+        dispatcher.tenants.rows[job->tenant].notFound += runsNotFound(*job);
+    }
+}
+
+void countRunsNotFoundAtEnd(Dispatcher &dispatcher, const Job &job)
+{
+    if (job.inherited && !dispatcher.runDiscoveryFinished) {
+        countStoppingRuns(dispatcher, job.record.id, job.tenant, runsNotFound(job));
     }
 }
 
@@ -158,7 +170,8 @@
 
 Resources chargedRuns(const Dispatcher &dispatcher, const Job &job)
 {
-    Resources charged;
+    const auto former = dispatcher.stoppingRuns.find(job.record.id);
+    Resources charged = former == dispatcher.stoppingRuns.end() ? Resources{} : former->second.size;
     for (const Occurrence &occurrence : job.occurrences) {
         for (std::uint32_t number = 0; number < occurrence.steps.size(); ++number) {
             const std::span<const Task> tasks = occurrence.steps[number].tasks;
--- a/core/dispatch/tenant_state.h
+++ b/core/dispatch/tenant_state.h
@@ -30,13 +30,17 @@
 /// Until the discovery of runs has finished: counts the tasks of inherited jobs that may run and were not found yet.
 void countRunsNotFound(Dispatcher &dispatcher);
 
+/// Goes on counting the tasks of an inherited job that may run and were not found yet, when the job ends before the
+/// discovery of runs has finished.
+void countRunsNotFoundAtEnd(Dispatcher &dispatcher, const Job &job);
+
 /// Counts what a former leader was stopping of an ended job.
 void countStoppingRuns(Dispatcher &dispatcher, JobId id, TenantSlot tenant, const Resources &size);
 
 /// Stops counting runs of ended jobs once no worker can have one.
 void releaseStoppedRuns(Dispatcher &dispatcher);
 
-/// Sizes of all runs of the job that are charged to its tenant.
+/// Sizes of all runs of the job that are charged to its tenant, also of those that were not found before its end.
 Resources chargedRuns(const Dispatcher &dispatcher, const Job &job);
 
 /// Logs when a cap begins or ceases to hold steps of a tenant back. `held` has an entry for each slot.
