metrics: tenants on the leader's page

For the 100 tenants with the largest weights: what counts against the cap, the cap, waiting jobs and excess, weight, whether the cap holds steps back, and rejected jobs by reason.

Run: wigeonkeel_tests -sg TenantMetrics.

--- a/modules/cluster_metrics/cluster_metrics.cpp
+++ b/modules/cluster_metrics/cluster_metrics.cpp
@@ -1,6 +1,10 @@
 #include "modules/cluster_metrics/cluster_metrics.h"
 
 #include "core/guarded_call.h"
+#include "modules/cluster_metrics/tenant_metrics.h"
+
+#include <algorithm>
+#include <iterator>
 
 #include <prometheus/counter.h>
 #include <prometheus/text_serializer.h>
@@ -133,6 +137,7 @@
         family("unexpected_errors_total", prometheus::MetricType::Counter, static_cast<double>(unexpectedErrors())));
     if (node.dispatcher) {
         addLeaderMetrics(*node.dispatcher, families);
+        std::ranges::move(tenantMetrics(*node.dispatcher), std::back_inserter(families));
     }
     return prometheus::TextSerializer().Serialize(families);
 }
