dispatch: report a tenant as held by its cap without a flicker

A tenant at its cap changed its state, with a log line, at each end of a run: the step that started one task did not count as held though more of its tasks waited. The same happened when a pass ended before the tenant's steps. A step with tasks left counts, and a tenant whose steps were not examined keeps its state. One more test checks that nothing starts before the ends are loaded.

Run: wigeonkeel_tests -sg DispatchTenantCaps; the first two tests failed before.

--- a/core/dispatch/placement/placement_pass.cpp
+++ b/core/dispatch/placement/placement_pass.cpp
@@ -93,8 +93,9 @@
     BlockedNeeds needs;
     /// Number of examined steps that found no room.
     std::size_t blocked = 0;
-    /// By tenant: whether its cap held a step back.
+    /// By tenant: whether its cap held a step back, and whether a step was examined.
     std::vector<bool> heldByCap;
+    std::vector<bool> examined;
 };
 
 PlacementNeed needOf(const ReadyStep &ready)
@@ -114,6 +115,7 @@
 
 void examineStep(Dispatcher &dispatcher, PlacementPass &pass, const ReadyStep &ready, MonotonicTime now)
 {
+    pass.examined[ready.job->tenant] = true;
     // Such a step doesn't count as blocked: many of one tenant must not end the pass before the steps of others.
     if (isHeldByCap(dispatcher, *ready.job, *ready.spec, *ready.step)) {
         pass.heldByCap[ready.job->tenant] = true;
@@ -135,6 +137,10 @@
     }
     const std::uint32_t waiting = ready.step->waiting;
     const bool foundNoRoom = placeStep(dispatcher, ready, now);
+    // The first tasks of a step may have used up the cap.
+    if (ready.step->waiting > 0 && isHeldByCap(dispatcher, *ready.job, *ready.spec, *ready.step)) {
+        pass.heldByCap[ready.job->tenant] = true;
+    }
     if (needsTicket(ready) && ready.step->allowed.empty()) {
         return;
     }
@@ -205,11 +211,20 @@
         countRunsNotFound(dispatcher);
     }
     const std::vector<ReadyStep> steps = readySteps(dispatcher, now);
-    PlacementPass pass{.needs = {}, .heldByCap = std::vector<bool>(dispatcher.tenants.rows.size(), false)};
+    const std::vector<bool> none(dispatcher.tenants.rows.size(), false);
+    PlacementPass pass{.needs = {}, .heldByCap = none, .examined = none};
     const std::size_t next = examineSteps(dispatcher, pass, steps, 0, maxBlockedSteps, now);
     if (next < steps.size()) {
         examineStepsInTurn(dispatcher, pass, std::span(steps).subspan(next), now);
     }
+    // Without this, a tenant whose steps come after the end of some passes would change its state, with a log line, at
+    // each of them.
+    for (const ReadyStep &ready : steps) {
+        const TenantSlot tenant = ready.job->tenant;
+        if (!pass.examined[tenant] && dispatcher.tenants.rows[tenant].isHeldByCap) {
+            pass.heldByCap[tenant] = true;
+        }
+    }
     updateHeldTenants(dispatcher, pass.heldByCap);
     // A step that finds no room examines every worker. The time between passes limits them to a fifth of a core.
     const auto spacing = timePerExaminedWorker * static_cast<int>(pass.blocked * dispatcher.workers.workers.size())
--- a/tests/dispatch/tenant_caps_test.cpp
+++ b/tests/dispatch/tenant_caps_test.cpp
@@ -153,6 +153,44 @@
     checkNoViolations(capped.world);
 }
 
+// Guards against two log lines, and a flicker of the metric, at each end of a run of a tenant that is at its cap.
+TEST(DispatchTenantCaps, AStepInWavesIsHeldUntilItsLastWave)
+{
+    CappedWorld capped(4, 3000);
+    World &world = capped.world;
+    world.actualRun = [](const TaskKey &task, std::uint32_t) {
+        return WorldRun{.work = milliseconds(200 + 40 * (task.index % 5))};
+    };
+    capped.submit(1, jobOf(20, 1000, milliseconds(300)));
+    const auto isHeld = [&capped] { return capped.leader().tenants.rows[1].isHeldByCap; };
+    CHECK(world.runUntil(isHeld, milliseconds(500)));
+    while (world.starts < 19) {
+        CHECK(isHeld());
+        world.run(milliseconds(1));
+    }
+    CHECK(world.runUntil([&] { return !isHeld(); }, milliseconds(1000)));
+}
+
+// Guards against the same while the steps before that of the tenant end most passes.
+TEST(DispatchTenantCaps, AStepBehindBlockedOnesStaysHeld)
+{
+    CappedWorld capped(4, 1000);
+    World &world = capped.world;
+    capped.submit(1, jobOf(1, 1000, milliseconds(20000)));
+    capped.submit(2, jobOf(1, 1000, milliseconds(20000)));
+    const auto isHeld = [&capped] { return capped.leader().tenants.rows[1].isHeldByCap; };
+    CHECK(world.runUntil(isHeld, milliseconds(500)));
+    for (JobId id = 0x101; id <= 0x180; ++id) {
+        JobSpec spec = gangOf(5, 3600, milliseconds(300));
+        spec.steps[0].maxPerWorker = 1;
+        capped.submit(id, spec, "urgent");
+    }
+    for (int i = 0; i < 500; ++i) {
+        world.run(milliseconds(3));
+        CHECK(isHeld());
+    }
+}
+
 // Guards against running sums that drift from the runs: then a cap holds for ever or not at all. Ends, failures,
 // cancellations, pre-emption, crashed workers, gangs and a takeover change them.
 TEST(DispatchTenantCaps, TheRunningSumsEqualARecount)
@@ -327,6 +365,42 @@
     checkNoViolations(world);
 }
 
+// Guards against starts above the cap before the new leader has read which ended jobs were being stopped: their runs
+// are listed by workers, but only the records of the ends tell whose they are.
+TEST(DispatchTenantCaps, NothingStartsBeforeTheEndsAreLoaded)
+{
+    constexpr JobId cancelled = 0xffffff;
+    constexpr JobId others = 3000;
+    CappedWorld capped(3, 4000, 2);
+    World &world = capped.world;
+    world.stopTime = milliseconds(20000);
+    world.tenants[cancelled] = "alder";
+    world.submit(world.leaderIndex(), cancelled, jobOf(4, 1000, milliseconds(60000)), "batch");
+    world.run(milliseconds(500));
+    capped.submit(1, jobOf(4, 1000, milliseconds(500)));
+    world.callAs(world.leaderIndex(), ClientCallKind::Cancel, cancelled, "alder");
+    world.run(milliseconds(500));
+    CHECK(capped.leader().jobs.ended.contains(cancelled));
+    const std::string end = encodeEnd({.state = JobState::Done, .endedAt = wallStart, .tenant = {}, .stopping = {}});
+    for (JobId id = 0x1000; id < 0x1000 + others; ++id) {
+        world.store.items[endKey(id)] = {.value = end, .revision = world.store.revision};
+    }
+    for (WorldNode &node : world.nodes) {
+        node.pageBytesPerSecond = 15000;
+    }
+    capped.takeOver();
+    CHECK(world.runUntil([&] { return capped.leader().runDiscoveryFinished; }, milliseconds(3000)));
+    world.run(milliseconds(500));
+    CHECK_FALSE(capped.leader().endsLoaded);
+    checkRunning(world, "alder", 4000);
+    CHECK(world.runUntil([&] { return capped.leader().endsLoaded; }, milliseconds(10000)));
+    world.run(milliseconds(500));
+    checkRunning(world, "alder", 4000);
+    checkNoViolations(world);
+    CHECK(capped.runUntilDone(1, milliseconds(25000)));
+    checkNoViolations(world);
+}
+
 // Guards against a cancellation, before the new leader has found the runs, that makes it forget them.
 TEST(DispatchTenantCaps, RunsOfAnInheritedJobCountAfterItsCancellation)
 {
