--- a/bench/placement_benchmark.cpp
+++ b/bench/placement_benchmark.cpp
@@ -1,5 +1,6 @@
 // Time of one pass of the placement over waiting steps that find no room, by Google Benchmark. Names are
-// pass/<needs>/<waiting steps>; the workers are as many as a large fleet of today has.
+// pass/<needs>/<waiting steps>, and tenants/<tenants> with a fixed number of waiting steps; the workers are as many as
+// a large fleet of today has.
 #include "core/dispatch/dispatcher.h"
 #include "core/log.h"
 
@@ -57,14 +58,14 @@
     return step;
 }
 
-void benchPass(benchmark::State &state, std::string_view needs)
+/// Adds a job for each waiting step; the tenants in force own them in turn.
+void addJobs(Dispatcher &dispatcher, std::int64_t count, std::string_view needs, MonotonicTime now)
 {
     std::mt19937_64 random(1);
-    Outbox outbox;
-    Dispatcher dispatcher = fullFleet(outbox);
-    const MonotonicTime now{milliseconds(100000)};
-    for (std::int64_t i = 0; i < state.range(0); ++i) {
+    const std::size_t tenants = dispatcher.tenants.rows.size();
+    for (std::int64_t i = 0; i < count; ++i) {
         auto job = std::make_unique<Job>();
+        job->tenant = static_cast<TenantSlot>(static_cast<std::size_t>(i) % tenants);
         job->record = {.id = static_cast<JobId>(i + 1),
             .queue = dispatcher.configuration.queues.front(),
             .spec = {.payload = "p", .steps = {drawStep(random, needs)}}};
@@ -74,6 +75,10 @@
         job->occurrences.push_back(makeOccurrence(job->record.spec, 0));
         dispatcher.jobs.live[job->record.id] = std::move(job);
     }
+}
+
+void runPasses(benchmark::State &state, Dispatcher &dispatcher, MonotonicTime now)
+{
     for (auto _ : state) {
         placeTasks(dispatcher, now);
     }
@@ -83,6 +88,39 @@
     }
 }
 
+void benchPass(benchmark::State &state, std::string_view needs)
+{
+    Outbox outbox;
+    Dispatcher dispatcher = fullFleet(outbox);
+    const MonotonicTime now{milliseconds(100000)};
+    addJobs(dispatcher, state.range(0), needs, now);
+    runPasses(state, dispatcher, now);
+}
+
+/// Every second tenant is at its cap.
+void benchTenants(benchmark::State &state)
+{
+    constexpr std::int64_t waitingSteps = 10000;
+    Outbox outbox;
+    Dispatcher dispatcher = fullFleet(outbox);
+    dispatcher.endsLoaded = true;
+    Configuration configuration = dispatcher.configuration;
+    configuration.tenants.emplace();
+    for (std::int64_t i = 0; i < state.range(0); ++i) {
+        configuration.tenants->push_back({.name = fmt::format("t{}", i),
+            .keys = {},
+            .weight = 1.0 + static_cast<double>(i % 7),
+            .cap = {.cpuMilli = i % 2 == 0 ? 1000 : 0}});
+    }
+    setConfiguration(dispatcher, configuration);
+    for (TenantState &tenant : dispatcher.tenants.rows) {
+        tenant.running = {.cpuMilli = 1000, .memoryMib = 1000};
+    }
+    const MonotonicTime now{milliseconds(100000)};
+    addJobs(dispatcher, waitingSteps, "sizes", now);
+    runPasses(state, dispatcher, now);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -94,6 +132,7 @@
             ->Arg(10000)
             ->Unit(benchmark::kMicrosecond);
     }
+    benchmark::RegisterBenchmark("tenants", benchTenants)->Arg(20)->Arg(95)->Arg(1000)->Unit(benchmark::kMicrosecond);
     benchmark::Initialize(&argc, argv);
     benchmark::RunSpecifiedBenchmarks();
     return 0;
