--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -607,8 +607,6 @@
     }
     if (call.kind != ClientCallKind::CountPending
         && !mayUseJob(call.isRestricted, call.tenant, tenantOfJob(dispatcher, call.job))) {
-        logLine(LogLevel::Info, logPart, "Call refused: the job belongs to another tenant. job={} tenant={} call={}",
-            formatJobId(call.job), call.tenant, static_cast<int>(call.kind));
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Forbidden});
         return;
     }
--- a/core/dispatch/placement/gang_placement.cpp
+++ b/core/dispatch/placement/gang_placement.cpp
@@ -5,6 +5,7 @@
 #include "core/dispatch/placement/place_plans.h"
 #include "core/dispatch/placement/preemption.h"
 #include "core/dispatch/placement/worker_room.h"
+#include "core/dispatch/tenant_state.h"
 
 #include <algorithm>
 #include <array>
@@ -135,6 +136,11 @@
             return;
         }
     }
+    // The cap may have been lowered while the gang had reserved places.
+    const auto members = static_cast<std::uint32_t>(ready.step->tasks.size());
+    if (startsWithinCap(dispatcher, *ready.job, *ready.spec, members) < members) {
+        return;
+    }
     const std::vector<Resources> room = roomOfWorkers(dispatcher);
     auto plan = placeGang(dispatcher, ready, room, GangSpeeds::Alike, now);
     const bool onOneRack = plan && isOnOneRack(dispatcher, *plan);
--- a/core/dispatch/placement/placement_pass.cpp
+++ b/core/dispatch/placement/placement_pass.cpp
@@ -96,8 +96,9 @@
     std::size_t blocked = 0;
     /// Number of examined steps that wait for near places. They have room, so that they don't end the pass.
     std::size_t waitingNear = 0;
-    /// By tenant: whether its cap held a step back.
+    /// By tenant: whether its cap held a step back, and whether a step was examined.
     std::vector<bool> heldByCap;
+    std::vector<bool> examined;
 };
 
 PlacementNeed needOf(const ReadyStep &ready)
@@ -118,6 +119,7 @@
 void examineStep(Dispatcher &dispatcher, PlacementPass &pass, const ReadyStep &ready, MonotonicTime now)
 {
     countPlaceWait(dispatcher, ready, now);
+    pass.examined[ready.job->tenant] = true;
     // Such a step doesn't count as blocked: many of one tenant must not end the pass before the steps of others.
     if (isHeldByCap(dispatcher, *ready.job, *ready.spec, *ready.step)) {
         pass.heldByCap[ready.job->tenant] = true;
@@ -139,6 +141,10 @@
     }
     const std::uint32_t waiting = ready.step->waiting;
     const bool foundNoRoom = placeStep(dispatcher, ready, now);
+    // The first tasks of a step may have used up the cap.
+    if (ready.step->waiting > 0 && isHeldByCap(dispatcher, *ready.job, *ready.spec, *ready.step)) {
+        pass.heldByCap[ready.job->tenant] = true;
+    }
     if (needsTicket(ready) && ready.step->allowed.empty()) {
         return;
     }
@@ -214,11 +220,20 @@
     }
     const std::vector<ReadyStep> steps = readySteps(dispatcher, now);
     dispatcher.placeWaits = {};
-    PlacementPass pass{.needs = {}, .heldByCap = std::vector<bool>(dispatcher.tenants.rows.size(), false)};
+    const std::vector<bool> none(dispatcher.tenants.rows.size(), false);
+    PlacementPass pass{.needs = {}, .heldByCap = none, .examined = none};
     const std::size_t next = examineSteps(dispatcher, pass, steps, 0, maxBlockedSteps, now);
     if (next < steps.size()) {
         examineStepsInTurn(dispatcher, pass, std::span(steps).subspan(next), now);
     }
+    // Without this, a tenant whose steps come after the end of some passes would change its state, with a log line, at
+    // each of them.
+    for (const ReadyStep &ready : steps) {
+        const TenantSlot tenant = ready.job->tenant;
+        if (!pass.examined[tenant] && dispatcher.tenants.rows[tenant].isHeldByCap) {
+            pass.heldByCap[tenant] = true;
+        }
+    }
     updateHeldTenants(dispatcher, pass.heldByCap);
     // A step that finds no room examines every worker. The time between passes limits them to a fifth of a core.
     const std::size_t withoutStart = pass.blocked + pass.waitingNear;
