--- a/tests/dispatch/place_wait_replay_test.cpp
+++ b/tests/dispatch/place_wait_replay_test.cpp
@@ -145,11 +145,11 @@
 
 } // namespace
 
-TEST_GROUP(PlacementReplay){};
+TEST_GROUP(PlaceWaitReplay){};
 
 // Guards against changed decisions in deployments without a factor. The digests are those of the code before waits for
 // near places were added (commit e5808ce).
-TEST(PlacementReplay, WithoutAFactorTheDecisionsAreThoseFromBeforeTheWaits)
+TEST(PlaceWaitReplay, WithoutAFactorTheDecisionsAreThoseFromBeforeTheWaits)
 {
     constexpr std::array<std::uint64_t, 4> digests
         = {0x54ab67217f0bfb8U, 0xea16f934cc96c102U, 0xe053f595c0a5addcU, 0x8e08fcf2d282a1e2U};
@@ -160,7 +160,7 @@
 }
 
 // Guards against a factor of at most 1 that makes tasks wait, and against a load that would never wait.
-TEST(PlacementReplay, NothingWaitsUnlessFarRunsTakeLonger)
+TEST(PlaceWaitReplay, NothingWaitsUnlessFarRunsTakeLonger)
 {
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
         std::uint64_t waits = 0;
@@ -172,7 +172,7 @@
 }
 
 // Guards against changed decisions about steps without a data rack and gangs without sameRack.
-TEST(PlacementReplay, StepsWithoutARackAreNotAffectedByTheFactor)
+TEST(PlaceWaitReplay, StepsWithoutARackAreNotAffectedByTheFactor)
 {
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
         std::uint64_t waits = 0;
@@ -211,7 +211,7 @@
 } // namespace
 
 // Guards against a wait for a place that the task can't use, because its ticket expires before the place is free.
-TEST(PlacementReplay, ATaskWaitsOnlyForPlacesWithTicketsThatLastLongEnough)
+TEST(PlaceWaitReplay, ATaskWaitsOnlyForPlacesWithTicketsThatLastLongEnough)
 {
     CHECK_TRUE(waitsWithTickets(milliseconds(1500)));
     CHECK_FALSE(waitsWithTickets(milliseconds(500)));
@@ -219,7 +219,7 @@
 
 // Guards against steps that wait by choice and count as steps without room: together with those they would end the pass
 // before less urgent steps that have room.
-TEST(PlacementReplay, WaitingStepsDoNotEndThePass)
+TEST(PlaceWaitReplay, WaitingStepsDoNotEndThePass)
 {
     constexpr JobId waitingSteps = 16;
     constexpr JobId blockedSteps = 50;
@@ -252,7 +252,7 @@
 }
 
 // Guards against passes that grow with the number of waiting steps: further ones start on far places.
-TEST(PlacementReplay, TheNumberOfWaitingStepsIsBounded)
+TEST(PlaceWaitReplay, TheNumberOfWaitingStepsIsBounded)
 {
     PlacementTables tables;
     tables.dispatcher.bounds.remoteFactor = 2.0;
