dispatch: count second attempts that a new leader has not found

A leader that can't reach a worker starts its task again once the lease has ended. Until the discovery of runs has finished, all tasks of inherited jobs count that were not done by the stored progress.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -714,6 +714,13 @@
         logLine(LogLevel::Error, logPart, "A record of progress can't be read. job={} problem={}",
             formatJobId(record.id), problem);
     }
+    for (Occurrence &occurrence : job.occurrences) {
+        for (StepRun &step : occurrence.steps) {
+            for (Task &task : step.tasks) {
+                task.wasInheritedDone = task.phase == TaskPhase::Done;
+            }
+        }
+    }
     dispatcher.unstoredJobs.insert(record.id);
 }
 
--- a/core/dispatch/job_table.h
+++ b/core/dispatch/job_table.h
@@ -39,6 +39,8 @@
     std::uint32_t restarts = 0;
     /// Unknown runs of the task that are being stopped. The task is not started before they have ended.
     std::uint32_t unknownRuns = 0;
+    /// Done already when this leader inherited the job: no worker has a run of the task.
+    bool wasInheritedDone = false;
 };
 
 /// The adviser's permission to run tasks of a step on a worker.
--- a/core/dispatch/tenant_state.cpp
+++ b/core/dispatch/tenant_state.cpp
@@ -46,13 +46,16 @@
 }
 
 /// Tasks of an inherited job that may run on a worker whose runs are not known yet. Steps that aren't open count too:
-/// the former leader may have opened one before it stored the end of the preceding step.
+/// the former leader may have opened one before it stored the end of the preceding step. So do tasks that became done
+/// under this leader: the former one may have started another attempt, because it could not reach the first one.
 Resources runsNotFound(const Job &job)
 {
+    const auto mayRun = [](const Task &task) { return task.phase != TaskPhase::Assigned && !task.wasInheritedDone; };
     Resources notFound;
     for (const Occurrence &occurrence : job.occurrences) {
         for (std::size_t number = 0; number < occurrence.steps.size(); ++number) {
-            notFound += multiplied(chargedSize(job.record.spec.steps[number]), occurrence.steps[number].waiting);
+            const auto count = std::ranges::count_if(occurrence.steps[number].tasks, mayRun);
+            notFound += multiplied(chargedSize(job.record.spec.steps[number]), count);
         }
     }
     return notFound;
--- a/tests/dispatch/tenant_caps_test.cpp
+++ b/tests/dispatch/tenant_caps_test.cpp
@@ -342,6 +342,36 @@
     checkNoViolations(world);
 }
 
+// Guards against a run that a new leader forgets because an older attempt of its task has ended as done on a worker
+// that the former leader could not reach (seed 4706 of the random plays). The job ends before the run is found.
+TEST(DispatchTenantCaps, ASecondAttemptCountsThoughTheFirstIsDone)
+{
+    CappedWorld capped(3, 4000, 3);
+    World &world = capped.world;
+    world.rules.acknowledgedEndsCount = true;
+    world.stopTime = milliseconds(5000);
+    world.actualRun = [](const TaskKey &task, std::uint32_t attempt) {
+        return WorldRun{.work = milliseconds(task.step.job == 1 && attempt > 1 ? 60000 : 800)};
+    };
+    capped.submit(1, jobOf(1, 4000, milliseconds(2000)));
+    CHECK(world.runUntil([&] { return world.starts == 1; }, milliseconds(500)));
+    world.workers[busyWorker(world)].unreachableFrom.insert(world.leaderIndex());
+    CHECK(world.runUntil([&] { return world.starts == 2; }, milliseconds(10000)));
+    WorldWorker &second = world.workers[busyWorker(world)];
+    second.unresponsive = true;
+    capped.takeOver();
+    capped.submit(2, jobOf(4, 1000, milliseconds(500)));
+    CHECK(world.runUntil([&] { return capped.leader().jobs.ended.contains(1); }, milliseconds(1000)));
+    world.run(milliseconds(500));
+    checkNoViolations(world);
+    second.unresponsive = false;
+    world.run(milliseconds(2000));
+    checkNoViolations(world);
+    checkRunning(world, "alder", 4000);
+    CHECK(capped.runUntilDone(2, milliseconds(15000)));
+    checkNoViolations(world);
+}
+
 // Guards against starts above the cap while runs of a job that ended under the former leader are being stopped.
 TEST(DispatchTenantCaps, RunsOfACancelledJobCountAfterATakeover)
 {
