--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -8,6 +8,7 @@
 #include "core/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace wigeonkeel::dispatch
 {
@@ -44,7 +45,7 @@
 
 void answer(Dispatcher &dispatcher, ClientAnswer answer)
 {
-    dispatcher.outbox->add(LeaderAnswer{.answer = answer});
+    dispatcher.outbox->add(LeaderAnswer{.answer = std::move(answer)});
 }
 
 void requestRecord(Dispatcher &dispatcher, const UnknownJobCall &unknown, std::string_view key)
