--- /dev/null
+++ b/tests/process/untrusted_clients.py
@@ -0,0 +1,252 @@
+"""Load of untrusted clients for the process tests: a small crowd of connections with small receive buffers. Nothing here
+depends on how fast the machine is: a flood ends when it was taken whole or when nothing was taken for a while."""
+
+import os
+import selectors
+import socket
+import struct
+import time
+
+CROWD = 8
+RECEIVE_BUFFER = 4096
+# More than the memory bound of the tests in total, so that a process that takes everything exceeds it.
+FLOOD_BYTES = 24 << 20
+# A flood in which no connection makes progress for this long has been stopped by the process.
+STALL_S = 0.5
+# Ends a pattern on a machine where the process takes the flood slowly; bounds the duration of the test.
+FLOOD_LIMIT_S = 4.0
+ABANDONED = 500
+# Largest frame between daemons, and so many of them that together they exceed the memory bound of the tests.
+MAX_FRAME = 1 << 20
+FRAME_CROWD = 160
+SAMPLE_S = 0.02
+
+
+def get(path):
+    return f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+
+
+def post(path, body):
+    return f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+class Watch:
+    """Peak memory of a process, with the bytes that the system keeps for its sockets, and its open descriptors."""
+
+    def __init__(self, pid, ports):
+        self.pid, self.ports = pid, {f"{port:04X}" for port in ports}
+        self.unread = self.descriptors = 0
+        self.next = 0.0
+        with open(f"/proc/{pid}/clear_refs", "w", encoding="ascii") as file:
+            file.write("5")
+
+    def sample(self):
+        if time.monotonic() < self.next:
+            return
+        self.next = time.monotonic() + SAMPLE_S
+        try:
+            self.descriptors = max(self.descriptors, len(os.listdir(f"/proc/{self.pid}/fd")))
+        except OSError:
+            return
+        with open("/proc/net/tcp", encoding="ascii") as file:
+            rows = [line.split() for line in file.readlines()[1:]]
+        # Connected sockets only: the queue of a listening one counts connections.
+        unread = sum(int(row[4].split(":")[1], 16) for row in rows
+                     if row[1].split(":")[1] in self.ports and row[3] == "01")
+        self.unread = max(self.unread, unread)
+
+    def peak(self):
+        """In bytes; none once the process has ended."""
+        with open(f"/proc/{self.pid}/status", encoding="ascii") as file:
+            rows = [line.split() for line in file]
+        resident = [int(row[1]) << 10 for row in rows if row[0] == "VmHWM:"]
+        return resident[0] + self.unread if resident else None
+
+
+def connect(address, port, receive_buffer=RECEIVE_BUFFER):
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+    client.settimeout(1.0)
+    client.connect((address, port))
+    client.setblocking(False)
+    return client
+
+
+def crowd(address, port, count=CROWD):
+    clients = []
+    for _ in range(count):
+        try:
+            clients.append(connect(address, port))
+        except OSError:
+            break
+    return clients
+
+
+def close(clients, reset=False):
+    for client in clients:
+        try:
+            if reset:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            client.close()
+        except OSError:
+            pass
+
+
+def flood(watch, clients, chunk, take=0, total=FLOOD_BYTES, first=b""):
+    """Sends `first` and then `chunk` repeatedly on each connection; takes `take` bytes of the answers at a time."""
+    piece = chunk * max(1, (1 << 16) // len(chunk))
+    left = {client: [memoryview(first + piece), 0] for client in clients}
+    selector = selectors.DefaultSelector()
+    for client in clients:
+        selector.register(client, selectors.EVENT_WRITE | (selectors.EVENT_READ if take else 0))
+    begun = progress = time.monotonic()
+    while left and time.monotonic() - progress < STALL_S and time.monotonic() - begun < FLOOD_LIMIT_S:
+        for key, events in selector.select(SAMPLE_S):
+            client = key.fileobj
+            try:
+                if events & selectors.EVENT_READ and not client.recv(take):
+                    raise ConnectionResetError
+                if events & selectors.EVENT_WRITE:
+                    view, sent = left[client]
+                    count = client.send(view)
+                    progress = time.monotonic()
+                    rest = view[count:]
+                    left[client] = [rest if len(rest) else memoryview(piece), sent + count]
+                    if sent + count >= total:
+                        raise ConnectionResetError
+            except BlockingIOError:
+                continue
+            except OSError:
+                selector.unregister(client)
+                del left[client]
+        watch.sample()
+    selector.close()
+
+
+def drip(watch, clients, data, rounds=100):
+    """One byte at a time."""
+    for index in range(rounds):
+        for client in clients:
+            try:
+                client.send(data[index % len(data):][:1])
+            except OSError:
+                pass
+        time.sleep(SAMPLE_S / 4)
+        watch.sample()
+
+
+def http_patterns(paths, bodies):
+    """Returns (name, function of a watch, an address and a port). Paths and bodies are those of the address."""
+    def flooded(chunk, **options):
+        def run(watch, address, port):
+            clients = crowd(address, port)
+            flood(watch, clients, chunk, **options)
+            close(clients)
+        return run
+
+    def sent_once(data, reset=False):
+        def run(watch, address, port):
+            clients = crowd(address, port)
+            flood(watch, clients, data, total=len(data))
+            close(clients, reset)
+        return run
+
+    def dripped(watch, address, port):
+        clients = crowd(address, port)
+        drip(watch, clients, get(paths[0])[:-2] + b"X-Long: 1\r\n" * 100)
+        close(clients)
+
+    def abandoned(watch, address, port):
+        clients = crowd(address, port, ABANDONED)
+        for _ in range(20):
+            time.sleep(SAMPLE_S)
+            watch.sample()
+        # One that has been refused or cut off is as good as one that was never accepted.
+        watch.ask()
+        close(clients)
+
+    big = b"x" * 262144
+    chunked = b"POST %s HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" % paths[0].encode()
+    patterns = [(f"GET {path}, unread", flooded(get(path))) for path in [*paths, "/no/such/path"]]
+    patterns += [(f"POST {path}, {len(body)} bytes, unread", flooded(post(path, body))) for path, body in bodies]
+    patterns += [
+        ("error pages, unread", flooded(b"NONSENSE\r\n\r\n", first=get(paths[0]) * 20000)),
+        ("read one byte at a time", flooded(get(paths[0]), take=1)),
+        ("half a request", sent_once(post(paths[0], big)[:131072])),
+        ("one byte at a time", dripped),
+        ("largest header", sent_once(b"GET / HTTP/1.1\r\nX-Long: " + b"x" * 16000 + b"\r\n\r\n")),
+        ("too large a header", flooded(b"x" * 1024, first=b"GET / HTTP/1.1\r\nX-Long: ")),
+        ("largest bodies", flooded(post(paths[0], big))),
+        ("too large a body", flooded(b"x" * 1024, first=b"POST / HTTP/1.1\r\nContent-Length: 999999999\r\n\r\n")),
+        ("chunks without an end", flooded(b"1000\r\n" + b"x" * 4096 + b"\r\n", first=chunked)),
+        ("one chunk without an end", flooded(b"x" * 1024, first=chunked + b"3ffff\r\n")),
+        ("reset midway", sent_once(get(paths[0]) * 2000 + post(paths[0], big)[:100000], reset=True)),
+        ("opened and abandoned", abandoned),
+    ]
+    return patterns
+
+
+def frame_patterns():
+    """Of the connections between daemons: a little-endian length of four bytes and the message."""
+    def filled(size, count):
+        def run(watch, address, port):
+            clients = crowd(address, port, count)
+            # Stops before the frame is whole.
+            flood(watch, clients, b"x" * 65536, first=struct.pack("<I", size), total=size - (1 << 17))
+            close(clients)
+        return run
+
+    def kept_alive(watch, address, port):
+        clients = crowd(address, port)
+        flood(watch, clients, bytes(4))
+        close(clients)
+
+    def abandoned(watch, address, port):
+        clients = crowd(address, port, ABANDONED)
+        for _ in range(20):
+            time.sleep(SAMPLE_S)
+            watch.sample()
+        close(clients)
+
+    return [("frames that never end", filled(MAX_FRAME, FRAME_CROWD)), ("too long a frame", filled(0xffffffff, CROWD)),
+            ("keep-alive frames", kept_alive), ("opened and abandoned", abandoned)]
+
+
+def answered(address, port, path, limit=30.0):
+    """Whether an ordinary client gets any answer. It asks again until the limit; the time itself is not judged."""
+    end = time.monotonic() + limit
+    while time.monotonic() < end:
+        try:
+            with socket.create_connection((address, port), timeout=5.0) as client:
+                client.settimeout(5.0)
+                client.sendall(get(path))
+                if client.recv(64).startswith(b"HTTP/1."):
+                    return True
+        except OSError:
+            pass
+        time.sleep(0.1)
+    return False
+
+
+def check_address(pid, address, port, patterns, ask_port, ask_path, limits):
+    """Plays the patterns against one address of a process. Returns what did not hold."""
+    max_bytes, max_descriptors = limits
+    problems = []
+    for name, play in patterns:
+        watch = Watch(pid, [port])
+        watch.ask = lambda: problems.append(f"{name}: no answer beside the crowd") \
+            if not answered(address, ask_port, ask_path) else None
+        play(watch, address, port)
+        watch.sample()
+        peak = watch.peak()
+        if peak is None:
+            return [*problems, f"{name}: the process has ended"]
+        print(f"  {name}: {peak >> 20} MiB with {watch.unread >> 10} KiB unread, {watch.descriptors} descriptors",
+              flush=True)
+        if peak > max_bytes:
+            problems.append(f"{name}: {peak >> 20} MiB, at most {max_bytes >> 20} are allowed")
+        if watch.descriptors > max_descriptors:
+            problems.append(f"{name}: {watch.descriptors} descriptors, at most {max_descriptors} are allowed")
+        if not answered(address, ask_port, ask_path):
+            problems.append(f"{name}: no answer afterwards")
+    return problems
