http: bound what untrusted clients make a server hold

Cause: evhttp reads from a connection while it writes a response, and bounds neither what it reads ahead nor the line before a chunk. Eight connections that pipelined requests and read nothing made a daemon keep 178 to 198 MiB.

Change: HttpServer stops reading until a response is written, and a read watermark of the largest request bounds the input. ConnectionLimit counts what all connections hold, closes those that take longest above the limit, and new requests get 503. Requests have a time to arrive and responses one to be taken. At the limit of connections the newest idle ones make room; a connection whose request is handled is never closed. evhttp's timeout is out of the way, and bytes that arrived before a connection was due are read first. Each limit has a counter and a rate-limited log line.

ARequestThatArrivedDuringAPauseIsServed fails on the code before.

--- a/drivers/http/connection_limit.cpp
+++ b/drivers/http/connection_limit.cpp
@@ -2,11 +2,12 @@
 
 #include <algorithm>
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/listener.h>
-#include <sys/socket.h>
+#include <sys/ioctl.h>
 #include <sys/stat.h>
 
 namespace wigeonkeel
@@ -17,7 +18,19 @@
 
 // Connections are checked this often while accepting is paused, so that a place that has become free is used soon.
 constexpr milliseconds pausedInterval{50};
+/// Longest time between two checks of the time limits; a fraction of the shortest default.
+constexpr milliseconds maxSweepInterval{1000};
 constexpr int sweepsPerTimeout = 4;
+/// A connection is not closed to make room for others before it did nothing for this long: a client that sends one
+/// request after the other needs its connection again at once.
+constexpr milliseconds minAgeToMakeRoom{1000};
+/// The share of all places that is freed in one sweep while accepting is paused.
+constexpr std::size_t placesPerSweep = 8;
+/// When the connections hold too much, they are closed until this share of the limit is free.
+constexpr std::size_t freedShare = 8;
+
+constexpr std::array<std::string_view, httpLimitCount> limitNames
+    = {"idle", "request_time", "response_time", "connections", "held_bytes", "refused"};
 
 ino_t inodeOf(int fd)
 {
@@ -27,26 +40,52 @@
     return fstat(fd, &status) == 0 ? status.st_ino : 0;
 }
 
+/// Bytes that have arrived on a socket and were not read yet.
+std::size_t unreadBytes(int fd)
+{
+    int count = 0;
+    return ioctl(fd, FIONREAD, &count) == 0 ? static_cast<std::size_t>(count) : 0;
+}
+
 } // namespace
 
+std::string_view httpLimitName(HttpLimit limit)
+{
+    return limitNames.at(static_cast<std::size_t>(limit));
+}
+
 ConnectionLimit::ConnectionLimit(EventLoop &loop, evhttp *http, const ConnectionLimitOptions &options)
     : m_loop(loop)
     , m_options(options)
     , m_trackEvent(event_new(
           loop.base(), -1, 0,
           [](evutil_socket_t, short, void *self) { static_cast<ConnectionLimit *>(self)->trackFresh(); }, this))
+    , m_relieveEvent(event_new(
+          loop.base(), -1, 0,
+          [](evutil_socket_t, short, void *self) { static_cast<ConnectionLimit *>(self)->relieve(); }, this))
     , m_sweepTimer(loop, [this] { sweep(); })
 {
     evhttp_set_bevcb(
         http, [](event_base *, void *self) { return static_cast<ConnectionLimit *>(self)->onConnection(); }, this);
-    m_sweepTimer.startOnce(m_options.requestTimeout / sweepsPerTimeout);
+    m_sweepTimer.startOnce(sweepInterval());
 }
 
 ConnectionLimit::~ConnectionLimit()
 {
+    event_free(m_relieveEvent);
     event_free(m_trackEvent);
 }
 
+milliseconds ConnectionLimit::sweepInterval() const
+{
+    if (m_paused) {
+        return pausedInterval;
+    }
+    const milliseconds shortest
+        = std::min({m_options.idleTimeout, m_options.requestTimeout, m_options.responseTimeout});
+    return std::min(shortest / sweepsPerTimeout, maxSweepInterval);
+}
+
 void ConnectionLimit::setSocket(evhttp_bound_socket *socket)
 {
     m_socket = socket;
@@ -56,6 +95,7 @@
 bufferevent *ConnectionLimit::onConnection()
 {
     bufferevent *fresh = bufferevent_socket_new(m_loop.base(), -1, 0);
+    bufferevent_setwatermark(fresh, EV_READ, 0, m_options.maxReadAhead);
     m_fresh.push_back(fresh);
     // evhttp sets the file descriptor after this callback. The event runs before the loop polls again, so that the
     // connection can't have been closed by then.
@@ -73,44 +113,231 @@
     const MonotonicTime now = m_loop.now();
     for (bufferevent *fresh : m_fresh) {
         const int fd = bufferevent_getfd(fresh);
-        m_open[fd] = {.inode = inodeOf(fd), .idleSince = now};
+        Connection &connection = m_open[fd];
+        m_heldBytes -= connection.held;
+        connection = {.owner = this,
+            .buffer = fresh,
+            .inode = inodeOf(fd),
+            .number = m_nextNumber++,
+            .idleSince = now,
+            .requestSince = {},
+            .closeAfter = {}};
+        // The callback ends with the connection's buffer; entries of a map stay where they are until they are erased,
+        // which they are after the connection was closed.
+        evbuffer_add_cb(bufferevent_get_input(fresh), handleInput, &connection);
     }
     m_fresh.clear();
 }
 
+void ConnectionLimit::handleInput(evbuffer *, const evbuffer_cb_info *info, void *argument)
+{
+    auto &connection = *static_cast<Connection *>(argument);
+    if (info->n_added == 0) {
+        return;
+    }
+    ConnectionLimit &owner = *connection.owner;
+    connection.arriving += info->n_added;
+    connection.received += info->n_added;
+    connection.held += info->n_added;
+    owner.m_heldBytes += info->n_added;
+    if (!connection.busy && !connection.requestSince) {
+        connection.requestSince = owner.m_loop.now();
+    }
+    if (owner.isFull()) {
+        // evhttp still uses the connection in the function that this is called from.
+        event_active(owner.m_relieveEvent, 0, 0);
+    }
+}
+
+ConnectionLimit::Phase ConnectionLimit::phaseOf(const Connection &connection)
+{
+    if (connection.busy) {
+        return Phase::Serving;
+    }
+    if (evbuffer_get_length(bufferevent_get_output(connection.buffer)) > 0) {
+        return Phase::Writing;
+    }
+    return connection.requestSince ? Phase::Arriving : Phase::Idle;
+}
+
+MonotonicTime ConnectionLimit::phaseBegan(const Connection &connection)
+{
+    // A request that evhttp refuses by itself is answered without a call of markIdle().
+    return std::max(connection.idleSince, connection.requestSince.value_or(connection.idleSince));
+}
+
+void ConnectionLimit::recount(Connection &connection)
+{
+    const std::size_t held = connection.arriving + connection.requestBytes + connection.unread
+        + evbuffer_get_length(bufferevent_get_output(connection.buffer));
+    m_heldBytes = m_heldBytes - connection.held + held;
+    connection.held = held;
+}
+
+void ConnectionLimit::forgetClosed()
+{
+    std::erase_if(m_open, [this](const auto &open) {
+        const bool closed = inodeOf(open.first) != open.second.inode;
+        m_heldBytes -= closed ? open.second.held : 0;
+        return closed;
+    });
+}
+
+bool ConnectionLimit::mayClose(Connection &connection) const
+{
+    if (phaseOf(connection) == Phase::Writing
+        || evbuffer_get_length(bufferevent_get_input(connection.buffer)) >= m_options.maxReadAhead) {
+        return true;
+    }
+    // What had come when the connection was first due may complete a request.
+    const std::size_t unread = unreadBytes(bufferevent_getfd(connection.buffer));
+    if (!connection.closeAfter) {
+        connection.closeAfter = connection.received + unread;
+    }
+    return unread == 0 || connection.received >= *connection.closeAfter;
+}
+
+void ConnectionLimit::close(int fd, HttpLimit reason)
+{
+    const auto found = m_open.find(fd);
+    bufferevent *buffer = found->second.buffer;
+    m_heldBytes -= found->second.held;
+    m_open.erase(found);
+    // evhttp frees the connection when it times out, whatever it does at that moment.
+    bufferevent_trigger_event(buffer, BEV_EVENT_TIMEOUT | BEV_EVENT_READING, 0);
+    if (m_options.reached) {
+        m_options.reached(reason);
+    }
+}
+
+void ConnectionLimit::closeOverdue(MonotonicTime now)
+{
+    std::vector<std::pair<int, HttpLimit>> overdue;
+    for (auto &[fd, connection] : m_open) {
+        const Phase phase = phaseOf(connection);
+        const auto age = now - phaseBegan(connection);
+        const bool paused = phase == Phase::Serving || phase == Phase::Writing;
+        connection.unread = paused ? unreadBytes(fd) : 0;
+        recount(connection);
+        if (phase == Phase::Idle && age >= m_options.idleTimeout && mayClose(connection)) {
+            overdue.emplace_back(fd, HttpLimit::Idle);
+        } else if (phase == Phase::Arriving && age >= m_options.requestTimeout && mayClose(connection)) {
+            overdue.emplace_back(fd, HttpLimit::RequestTime);
+        } else if (phase == Phase::Writing && age >= m_options.responseTimeout) {
+            overdue.emplace_back(fd, HttpLimit::ResponseTime);
+        }
+    }
+    for (const auto &[fd, reason] : overdue) {
+        close(fd, reason);
+    }
+}
+
+void ConnectionLimit::makeRoom(MonotonicTime now)
+{
+    struct Candidate
+    {
+        bool isIdle = false;
+        std::uint64_t number = 0;
+        int fd = 0;
+    };
+    std::vector<Candidate> candidates;
+    for (auto &[fd, connection] : m_open) {
+        const Phase phase = phaseOf(connection);
+        if (phase != Phase::Serving && now - phaseBegan(connection) >= minAgeToMakeRoom && mayClose(connection)) {
+            candidates.push_back({.isIdle = phase == Phase::Idle, .number = connection.number, .fd = fd});
+        }
+    }
+    // Idle ones first, and of those the newest: clients that were here before the crowd keep theirs.
+    std::ranges::sort(candidates,
+        [](const Candidate &a, const Candidate &b) { return a.isIdle != b.isIdle ? a.isIdle : a.number > b.number; });
+    const std::size_t most = std::max<std::size_t>(1, m_options.maxConnections / placesPerSweep);
+    candidates.resize(std::min(candidates.size(), most));
+    for (const Candidate &candidate : candidates) {
+        close(candidate.fd, HttpLimit::Connections);
+    }
+}
+
+void ConnectionLimit::relieve()
+{
+    forgetClosed();
+    std::vector<std::pair<MonotonicTime, int>> candidates;
+    for (auto &[fd, connection] : m_open) {
+        recount(connection);
+        if (phaseOf(connection) != Phase::Serving && connection.held > 0) {
+            candidates.emplace_back(phaseBegan(connection), fd);
+        }
+    }
+    // A request within the limits arrives at once, so those that took longest are the least likely to be missed.
+    std::ranges::sort(candidates);
+    const std::size_t target = m_options.maxHeldBytes - m_options.maxHeldBytes / freedShare;
+    const bool wasFull = isFull();
+    for (const auto &[since, fd] : candidates) {
+        if (!wasFull || m_heldBytes <= target) {
+            return;
+        }
+        close(fd, HttpLimit::HeldBytes);
+    }
+}
+
 void ConnectionLimit::sweep()
 {
     const MonotonicTime now = m_loop.now();
-    std::erase_if(m_open, [](const auto &open) { return inodeOf(open.first) != open.second.inode; });
-    for (const auto &[fd, connection] : m_open) {
-        if (!connection.busy && now - connection.idleSince >= m_options.requestTimeout) {
-            // evhttp reads the end of the stream and frees the connection.
-            shutdown(fd, SHUT_RDWR);
-        }
+    forgetClosed();
+    closeOverdue(now);
+    if (isFull()) {
+        relieve();
+    }
+    if (m_paused && m_open.size() >= m_options.maxConnections) {
+        makeRoom(now);
     }
     if (m_paused && m_socket != nullptr && m_open.size() < m_options.maxConnections) {
         m_paused = false;
         evconnlistener_enable(evhttp_bound_socket_get_listener(m_socket));
     }
-    m_sweepTimer.startOnce(m_paused ? pausedInterval : m_options.requestTimeout / sweepsPerTimeout);
+    m_sweepTimer.startOnce(sweepInterval());
+}
+
+ConnectionLimit::Connection *ConnectionLimit::find(evhttp_connection *connection)
+{
+    bufferevent *buffer = evhttp_connection_get_bufferevent(connection);
+    const auto found = m_open.find(bufferevent_getfd(buffer));
+    return found != m_open.end() && found->second.buffer == buffer ? &found->second : nullptr;
 }
 
-void ConnectionLimit::markBusy(evhttp_connection *connection)
+void ConnectionLimit::markBusy(evhttp_connection *connection, std::size_t requestBytes)
 {
-    mark(connection, true);
+    if (Connection *found = find(connection)) {
+        found->busy = true;
+        found->requestBytes = requestBytes;
+        found->arriving = evbuffer_get_length(bufferevent_get_input(found->buffer));
+        found->requestSince.reset();
+        found->closeAfter.reset();
+        recount(*found);
+    }
 }
 
 void ConnectionLimit::markIdle(evhttp_connection *connection)
 {
-    mark(connection, false);
+    if (Connection *found = find(connection)) {
+        found->busy = false;
+        found->requestBytes = 0;
+        found->idleSince = m_loop.now();
+        found->closeAfter.reset();
+        if (found->arriving > 0) {
+            found->requestSince = found->idleSince;
+        }
+        recount(*found);
+    }
 }
 
-void ConnectionLimit::mark(evhttp_connection *connection, bool busy)
+void ConnectionLimit::updateOutput(evhttp_connection *connection)
 {
-    const auto found = m_open.find(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)));
-    if (found != m_open.end()) {
-        found->second.busy = busy;
-        found->second.idleSince = m_loop.now();
+    if (Connection *found = find(connection)) {
+        found->idleSince = m_loop.now();
+        recount(*found);
+        if (isFull()) {
+            event_active(m_relieveEvent, 0, 0);
+        }
     }
 }
 
--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -23,6 +23,16 @@
 
 constexpr int statusServiceUnavailable = 503;
 constexpr int statusNotFound = 404;
+constexpr std::string_view logPart = "http_server";
+/// At most one line about limits that were reached is logged in this time.
+constexpr milliseconds limitLogInterval{1000};
+/// Beside the largest body and header: the line before a chunk, and the first bytes of a request that is sent ahead.
+constexpr std::size_t readAheadMargin = 16 << 10;
+/// Held for a waiting request beside its body: evhttp's structures, the path and the usual headers.
+constexpr std::size_t requestOverhead = 2048;
+/// evhttp's own timeout closes a connection although a request has arrived, if the process was paused for so long.
+/// ConnectionLimit applies the time limits, so that it never takes effect.
+constexpr int evhttpTimeoutSeconds = 24 * 3600;
 
 std::string_view methodName(evhttp_cmd_type command)
 {
@@ -62,13 +72,19 @@
     : m_loop(loop)
     , m_options(std::move(options))
     , m_http(evhttp_new(loop.base()))
-    , m_limit(loop, m_http, {.maxConnections = m_options.maxConnections, .requestTimeout = m_options.readTimeout})
+    , m_limit(loop, m_http,
+          {.maxConnections = m_options.maxConnections,
+              .idleTimeout = m_options.readTimeout,
+              .requestTimeout = std::min(m_options.requestTimeout, m_options.readTimeout),
+              .responseTimeout = m_options.responseTimeout,
+              .maxHeldBytes = m_options.maxHeldBytes,
+              .maxReadAhead = m_options.maxBodyBytes + m_options.maxHeaderBytes + readAheadMargin,
+              .reached = [this](HttpLimit limit) { onLimit(limit); }})
     , m_dropTimer(loop, [this] { closeDropped(); })
 {
     evhttp_set_max_body_size(m_http, static_cast<ev_ssize_t>(m_options.maxBodyBytes));
     evhttp_set_max_headers_size(m_http, static_cast<ev_ssize_t>(m_options.maxHeaderBytes));
-    evhttp_set_timeout(
-        m_http, static_cast<int>(std::chrono::ceil<std::chrono::seconds>(m_options.readTimeout).count()));
+    evhttp_set_timeout(m_http, evhttpTimeoutSeconds);
     evhttp_set_allowed_methods(m_http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
     evhttp_set_gencb(m_http, handleRequest, this);
 }
@@ -86,6 +102,9 @@
     m_socket = evhttp_bind_socket_with_handle(m_http, m_options.address.c_str(), m_options.port);
     m_limit.setSocket(m_socket);
     if (m_socket != nullptr) {
+        // Accepted sockets inherit it.
+        setsockopt(evhttp_bound_socket_get_fd(m_socket), SOL_SOCKET, SO_RCVBUF, &m_options.receiveBufferBytes,
+            sizeof(m_options.receiveBufferBytes));
         return {};
     }
     return {.code = Errc::Unavailable,
@@ -121,6 +140,29 @@
     m_dropTimer.startOnce(milliseconds(0));
 }
 
+void HttpServer::onLimit(HttpLimit limit)
+{
+    if (m_options.limitReached) {
+        m_options.limitReached(limit);
+    }
+    ++m_unloggedLimits.at(static_cast<std::size_t>(limit));
+    // Clients close and open idle connections all the time; their ends are only counted.
+    const MonotonicTime now = m_loop.now();
+    if (limit == HttpLimit::Idle || now < m_nextLimitLog) {
+        return;
+    }
+    m_nextLimitLog = now + limitLogInterval;
+    std::string counts;
+    for (std::size_t i = 0; i < httpLimitCount; ++i) {
+        counts
+            += fmt::format(" {}={}", httpLimitName(static_cast<HttpLimit>(i)), std::exchange(m_unloggedLimits[i], 0));
+    }
+    logLine(LogLevel::Warning, logPart,
+        "Clients reached limits; connections were closed or requests refused. address={}:{} connections={} "
+        "held_bytes={}{}",
+        m_options.address, port(), m_limit.open(), m_limit.heldBytes(), counts);
+}
+
 void HttpServer::closeDropped()
 {
     for (const HttpToken token : std::exchange(m_dropped, {})) {
@@ -216,6 +258,10 @@
     evhttp_connection_set_closecb(connection, handleClose, this);
     evhttp_request_set_on_complete_cb(request, handleWritten, this);
     evhttp_send_reply(request, reply.status, nullptr, nullptr);
+    // evhttp reads while it writes, and what it reads then is not bounded. It reads again after the response is
+    // written.
+    bufferevent_disable(evhttp_connection_get_bufferevent(connection), EV_READ);
+    m_limit.updateOutput(connection);
     return true;
 }
 
@@ -226,7 +272,10 @@
 
 void HttpServer::handleWritten(evhttp_request *request, void *self)
 {
-    static_cast<HttpServer *>(self)->m_writing.erase(evhttp_request_get_connection(request));
+    auto *server = static_cast<HttpServer *>(self);
+    evhttp_connection *connection = evhttp_request_get_connection(request);
+    server->m_writing.erase(connection);
+    server->m_limit.updateOutput(connection);
 }
 
 void HttpServer::handleClose(evhttp_connection *connection, void *self)
@@ -255,9 +304,10 @@
     evhttp_connection *connection = evhttp_request_get_connection(request);
     m_byConnection[connection] = token;
     evhttp_connection_set_closecb(connection, handleClose, this);
-    m_limit.markBusy(connection);
+    m_limit.markBusy(connection, length + requestOverhead);
 
-    if (m_waiting.size() > m_options.maxWaiting) {
+    if (m_waiting.size() > m_options.maxWaiting || m_limit.isFull()) {
+        onLimit(HttpLimit::Refused);
         reply(token,
             {.status = statusServiceUnavailable,
                 .body = R"({"outcome":"not_run","reason":"too many requests are waiting at this daemon"})",
@@ -276,6 +326,8 @@
     handOver(parsed);
     // The connection is still valid here: replies are written, and drops carried out, from the loop.
     if (m_waiting.contains(token)) {
+        // The handler has copied what it needs of the body.
+        evbuffer_drain(body, length);
         watchClose(connection);
     }
 }
--- a/drivers/http/http_server.h
+++ b/drivers/http/http_server.h
@@ -4,6 +4,7 @@
 #include "core/event_loop.h"
 #include "drivers/http/connection_limit.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -58,6 +59,18 @@
     /// At this number of open connections, further ones wait in the kernel until another is closed.
     std::size_t maxConnections = 10000;
     std::size_t maxWaiting = 10000;
+    /// A request must be complete this long after its first byte. `readTimeout` bounds it too.
+    milliseconds requestTimeout{10000};
+    /// A client must take a response within this time; what the system has buffered counts as taken.
+    milliseconds responseTimeout{10000};
+    /// What all connections hold together, in bytes: requests that arrive or wait for their response, and responses
+    /// that are not taken. Above it, connections are closed and new requests are answered with 503.
+    std::size_t maxHeldBytes = std::size_t{64} << 20;
+    /// Receive buffer that the system is asked for, for each connection, in bytes. Without a limit, the system buffers
+    /// up to several MiB that a client sends ahead.
+    int receiveBufferBytes = 32 << 10;
+    /// Called for each connection that is closed, and each request that is refused, because of a limit.
+    std::function<void(HttpLimit)> limitReached;
 };
 
 /// HTTP server over evhttp on the given loop.
@@ -104,6 +117,7 @@
     static void handleWritten(evhttp_request *request, void *self);
     void dispatch(evhttp_request *request);
     void closeDropped();
+    void onLimit(HttpLimit limit);
     void handOver(const HttpRequest &request);
     /// Takes a request out of the books; null if it is not in them.
     evhttp_request *take(HttpToken token);
@@ -124,6 +138,8 @@
     std::function<void(HttpToken)> m_clientGone;
     std::vector<HttpToken> m_dropped;
     Timer m_dropTimer;
+    MonotonicTime m_nextLimitLog{};
+    std::array<std::uint64_t, httpLimitCount> m_unloggedLimits{};
 };
 
 } // namespace wigeonkeel
--- a/modules/caller_http/register_types.cpp
+++ b/modules/caller_http/register_types.cpp
@@ -5,6 +5,7 @@
 #include "core/log.h"
 #include "core/registry.h"
 #include "drivers/http/http_server.h"
+#include "drivers/http/limit_counter.h"
 #include "modules/caller_http/caller_json.h"
 
 #include <nlohmann/json.hpp>
@@ -31,7 +32,11 @@
                   .maxBodyBytes = static_cast<std::size_t>(owner.settings.integer("caller_http.max_body")),
                   .readTimeout = owner.settings.duration("caller_http.read_timeout"),
                   .maxConnections = static_cast<std::size_t>(owner.settings.integer("caller_http.max_connections")),
-                  .maxWaiting = static_cast<std::size_t>(owner.settings.integer("caller_http.max_waiting"))})
+                  .maxWaiting = static_cast<std::size_t>(owner.settings.integer("caller_http.max_waiting")),
+                  .requestTimeout = owner.settings.duration("caller_http.request_timeout"),
+                  .responseTimeout = owner.settings.duration("caller_http.response_timeout"),
+                  .maxHeldBytes = static_cast<std::size_t>(owner.settings.integer("caller_http.max_held")),
+                  .limitReached = limitCounter(owner.metrics, "callers")})
     {
         server.route(std::string(requestsPath), [this](const HttpRequest &request) { handle(request); });
         server.onClientGone([this](HttpToken token) { post(kernel, CallerGoneEvent{.caller = token}); });
@@ -174,6 +179,30 @@
         .min = 1,
         .max = 1000000,
         .description = "Callers that may wait for an answer at one time; more are told not_run."});
+    registry.addSetting({.section = "caller_http",
+        .key = "request_timeout",
+        .type = SettingType::Milliseconds,
+        .unit = "ms",
+        .defaultValue = "10000",
+        .min = 1000,
+        .max = 600000,
+        .description = "A request must be complete this long after its first byte; read_timeout bounds it too."});
+    registry.addSetting({.section = "caller_http",
+        .key = "response_timeout",
+        .type = SettingType::Milliseconds,
+        .unit = "ms",
+        .defaultValue = "10000",
+        .min = 1000,
+        .max = 600000,
+        .description = "A caller must take an answer within this time."});
+    registry.addSetting({.section = "caller_http",
+        .key = "max_held",
+        .type = SettingType::Integer,
+        .unit = "bytes",
+        .defaultValue = "67108864",
+        .min = 1048576,
+        .max = 1099511627776,
+        .description = "Requests and untaken answers of all connections; above it, connections are closed."});
     registry.add({.name = "caller_http",
         .level = PluginLevel::FrontEnds,
         .start = start,
--- a/modules/metrics_http/register_types.cpp
+++ b/modules/metrics_http/register_types.cpp
@@ -4,6 +4,7 @@
 #include "core/log.h"
 #include "core/registry.h"
 #include "drivers/http/http_server.h"
+#include "drivers/http/limit_counter.h"
 #include "modules/metrics_http/metrics_page.h"
 
 namespace wigeonkeel
@@ -15,6 +16,12 @@
 constexpr std::string_view logPart = "metrics_http";
 constexpr int statusServiceUnavailable = 503;
 
+/// Collectors and health checks send no bodies, and a few of them come at a time.
+constexpr std::size_t maxBody = 4096;
+constexpr std::size_t maxConnections = 64;
+/// Bytes; some tens of pages.
+constexpr std::size_t maxHeld = std::size_t{4} << 20;
+
 /// Serves /metrics, /healthz and /readyz.
 struct MetricsPage
 {
@@ -22,7 +29,12 @@
         : kernel(owner)
         , server(owner.loop,
               {.address = std::string(owner.settings.text("metrics_http.address")),
-                  .port = static_cast<std::uint16_t>(owner.settings.integer("metrics_http.port"))})
+                  .port = static_cast<std::uint16_t>(owner.settings.integer("metrics_http.port")),
+                  .maxBodyBytes = maxBody,
+                  .maxConnections = maxConnections,
+                  .maxWaiting = maxConnections,
+                  .maxHeldBytes = maxHeld,
+                  .limitReached = limitCounter(owner.metrics, "metrics")})
     {
         observed = kernel.signals.observed.connect(
             [this](const ObserveAction &observation) { observe(histograms, observation); });
--- a/modules/operator_http/register_types.cpp
+++ b/modules/operator_http/register_types.cpp
@@ -5,6 +5,7 @@
 #include "core/registry.h"
 #include "core/scheduler/explain.h"
 #include "drivers/http/http_server.h"
+#include "drivers/http/limit_counter.h"
 #include "modules/operator_http/authentication.h"
 #include "modules/operator_http/operator_json.h"
 #include "modules/operator_http/pages_json.h"
@@ -45,7 +46,10 @@
                   .port = static_cast<std::uint16_t>(owner.settings.integer("operator_http.port")),
                   .maxBodyBytes = static_cast<std::size_t>(owner.settings.integer("operator_http.max_body")),
                   .readTimeout = owner.settings.duration("operator_http.read_timeout"),
-                  .maxWaiting = static_cast<std::size_t>(owner.settings.integer("operator_http.max_waiting"))})
+                  .maxConnections = static_cast<std::size_t>(owner.settings.integer("operator_http.max_connections")),
+                  .maxWaiting = static_cast<std::size_t>(owner.settings.integer("operator_http.max_waiting")),
+                  .maxHeldBytes = static_cast<std::size_t>(owner.settings.integer("operator_http.max_held")),
+                  .limitReached = limitCounter(owner.metrics, "operators")})
     {
         server.route("/v1/", [this](const HttpRequest &request) { handle(request); });
         replies = kernel.signals.replyToOperator.connect([this](const OperatorReply &reply) {
@@ -228,6 +232,22 @@
         .min = 1000,
         .max = 600000,
         .description = "An operator who is silent this long within a request is cut off."});
+    registry.addSetting({.section = "operator_http",
+        .key = "max_connections",
+        .type = SettingType::Integer,
+        .unit = "connections",
+        .defaultValue = "1000",
+        .min = 1,
+        .max = 1000000,
+        .description = "Connections that operators may have open at one time; more wait to be accepted."});
+    registry.addSetting({.section = "operator_http",
+        .key = "max_held",
+        .type = SettingType::Integer,
+        .unit = "bytes",
+        .defaultValue = "67108864",
+        .min = 1048576,
+        .max = 1099511627776,
+        .description = "Requests and untaken responses of all connections; above it, connections are closed."});
     registry.addSetting({.section = "operator_http",
         .key = "max_waiting",
         .type = SettingType::Integer,
--- a/tests/drivers/http/http_server_test.cpp
+++ b/tests/drivers/http/http_server_test.cpp
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <stdexcept>
+#include <thread>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -200,3 +201,162 @@
     CHECK_EQUAL(0, server.waiting());
     CHECK_FALSE(server.reply(kept, {.body = "late"}));
 }
+
+// Guards against a request that is cut off because the process was paused for longer than a connection may be idle: it
+// has arrived, but was not read yet.
+TEST(HttpServer, ARequestThatArrivedDuringAPauseIsServed)
+{
+    const auto idle = connect();
+    idle->send("GET /first HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK_TRUE(answered(*idle, "/first"));
+    const auto begun = connect();
+    begun->send("POST /begun HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\na");
+    runFor(loop, milliseconds(100));
+    std::this_thread::sleep_for(milliseconds(1500));
+    idle->send("GET /second HTTP/1.1\r\nHost: x\r\n\r\n");
+    begun->send("bc");
+    CHECK_TRUE(answered(*idle, "/second"));
+    CHECK_TRUE(answered(*begun, "/begun"));
+}
+
+TEST_GROUP(HttpServerLimits)
+{
+    EventLoop loop{systemClock()};
+    std::array<int, httpLimitCount> reached{};
+    HttpServer server{loop,
+        {.address = std::string(address),
+            .readTimeout = milliseconds(20000),
+            .maxConnections = 4,
+            .requestTimeout = milliseconds(400),
+            .responseTimeout = milliseconds(400),
+            .maxHeldBytes = 1 << 20,
+            .limitReached = [this](HttpLimit limit) { ++reached.at(static_cast<std::size_t>(limit)); }}};
+    std::vector<HttpToken> kept;
+    std::size_t served = 0;
+    std::string body = "here";
+
+    void setup() override
+    {
+        server.route("/", [this](const HttpRequest &request) {
+            ++served;
+            if (request.path == "/keep") {
+                kept.push_back(request.token);
+                return;
+            }
+            server.reply(request.token, {.body = body});
+        });
+        CHECK_FALSE(static_cast<bool>(server.listen()));
+    }
+
+    std::unique_ptr<RawSocket> connect()
+    {
+        return std::make_unique<RawSocket>(address, server.port());
+    }
+
+    bool eventually(const std::function<bool()> &condition)
+    {
+        return runUntil(loop, [&] {
+            runFor(loop, tick);
+            return condition();
+        });
+    }
+
+    int count(HttpLimit limit) const
+    {
+        return reached.at(static_cast<std::size_t>(limit));
+    }
+};
+
+// Guards against memory that is kept for a client who does not take its response.
+TEST(HttpServerLimits, AResponseThatIsNotTakenEndsItsConnection)
+{
+    int ended = 0;
+    HttpServer patient{loop,
+        {.address = std::string(address),
+            .responseTimeout = milliseconds(400),
+            .limitReached = [&ended](HttpLimit limit) { ended += limit == HttpLimit::ResponseTime ? 1 : 0; }}};
+    // More than the system buffers for a connection.
+    const std::string large(20 << 20, 'x');
+    patient.route("/", [&](const HttpRequest &request) { patient.reply(request.token, {.body = large}); });
+    CHECK_FALSE(static_cast<bool>(patient.listen()));
+    RawSocket client(address, patient.port());
+    client.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK_TRUE(eventually([&] { return ended == 1; }));
+    CHECK_FALSE(patient.isWriting());
+}
+
+// Guards against requests that are read ahead without end while a response is not taken.
+TEST(HttpServerLimits, NothingIsReadWhileAResponseIsWritten)
+{
+    body = std::string(900000, 'x');
+    const auto client = connect();
+    std::string requests;
+    for (int i = 0; i < 2000; ++i) {
+        requests += "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    }
+    for (int i = 0; i < 200; ++i) {
+        client->send(requests);
+        runFor(loop, milliseconds(1));
+    }
+    CHECK_TRUE(served < 50);
+}
+
+// Guards against a request that arrives for ever, one byte at a time, and is not caught by the limit for idle ones.
+TEST(HttpServerLimits, ARequestThatTakesTooLongEndsItsConnection)
+{
+    const auto client = connect();
+    client->send("GET /a HTTP/1.1\r\n");
+    CHECK_TRUE(eventually([&] {
+        client->send("x");
+        return client->ended();
+    }));
+    CHECK_EQUAL(1, count(HttpLimit::RequestTime));
+}
+
+// Guards against idle connections that keep others out, and against a waiting client that is closed for them.
+TEST(HttpServerLimits, IdleConnectionsMakeRoomAndWaitingOnesStay)
+{
+    const auto oldest = connect();
+    const auto older = connect();
+    const auto newest = connect();
+    const auto waiting = connect();
+    waiting->send("GET /keep HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK_TRUE(eventually([&] { return kept.size() == 1; }));
+    const auto late = connect();
+    late->send("GET /late HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK_TRUE(eventually([&] { return late->received().find("here") != std::string::npos; }));
+    CHECK_TRUE(newest->ended());
+    CHECK_FALSE(oldest->ended());
+    CHECK_FALSE(older->ended());
+    CHECK_TRUE(server.reply(kept.front(), {.body = "waited"}));
+    CHECK_TRUE(eventually([&] { return waiting->received().find("waited") != std::string::npos; }));
+}
+
+// Guards against bodies of waiting requests that fill the memory. A refusal means that the handler never saw it.
+TEST(HttpServerLimits, RequestsBeyondTheBytesHeldAreRefused)
+{
+    // Two of them with what a waiting request takes beside its body leave less than a third one takes.
+    const std::string large
+        = "POST /keep HTTP/1.1\r\nHost: x\r\nContent-Length: 522000\r\n\r\n" + std::string(522000, 'x');
+    std::vector<std::unique_ptr<RawSocket>> clients;
+    for (std::size_t i = 0; i < 2; ++i) {
+        clients.push_back(connect());
+        std::size_t sent = 0;
+        CHECK_TRUE(eventually([&] {
+            sent += sent < large.size() ? clients.back()->send(std::string_view(large).substr(sent)) : 0;
+            return kept.size() == i + 1;
+        }));
+    }
+    const auto third = connect();
+    third->send("GET /keep HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK_TRUE(eventually([&] { return third->received().find(" 503 ") != std::string::npos; }));
+    CHECK_EQUAL(2, kept.size());
+    CHECK_EQUAL(1, count(HttpLimit::Refused));
+    // One that does not fit while it arrives is cut off.
+    const auto fourth = connect();
+    fourth->send(large);
+    CHECK_TRUE(eventually([&] { return fourth->ended(); }));
+    CHECK_EQUAL(2, kept.size());
+    CHECK_TRUE(server.reply(kept.front(), {.body = "kept"}));
+    CHECK_TRUE(eventually([&] { return clients.front()->received().find("kept") != std::string::npos; }));
+}
--- a/tests/drivers/http/raw_socket.cpp
+++ b/tests/drivers/http/raw_socket.cpp
@@ -59,10 +59,11 @@
     return fd;
 }
 
-void RawSocket::send(std::string_view bytes)
+std::size_t RawSocket::send(std::string_view bytes)
 {
     // A peer that has closed is no failure of the test by itself.
-    (void)::send(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    const ssize_t sent = ::send(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    return sent > 0 ? static_cast<std::size_t>(sent) : 0;
 }
 
 void RawSocket::close()
--- a/tests/drivers/http/raw_socket.h
+++ b/tests/drivers/http/raw_socket.h
@@ -23,7 +23,8 @@
 
     static int listenOn(std::string_view address, std::uint16_t &port);
 
-    void send(std::string_view bytes);
+    /// Returns how many bytes the system took; 0 if the peer has closed.
+    std::size_t send(std::string_view bytes);
     void close();
     /// What has arrived so far.
     const std::string &received();
