links: bound the frames of connections that have not said who they are

Cause: a connection between daemons may send a frame of 1 MiB before it names itself, and the number of such connections had no bound (wigeonkeel_entry) or one of 256 (wigeonkeeld). Frames that never end took 53 to 107 MiB, and empty frames kept an unnamed connection open for ever.

Change: an accepted connection may send frames of up to 16 KiB until its first presence message or Hello. wigeonkeel_entry keeps at most 64 unnamed connections, closes the oldest for a new one, and closes those whose first message can't be read. Ends of unnamed connections are logged once a second.

--- a/drivers/peer_protocol/frame_connection.cpp
+++ b/drivers/peer_protocol/frame_connection.cpp
@@ -82,11 +82,17 @@
     const auto event
         = [](bufferevent *, short what, void *self) { static_cast<FrameConnection *>(self)->onEvent(what); };
     bufferevent_setcb(m_buffer, read, nullptr, event, this);
-    // The input buffer holds one whole frame at most.
-    bufferevent_setwatermark(m_buffer, EV_READ, 0, maxFrameSize + frameHeaderSize);
+    limitFrames(maxFrameSize);
     bufferevent_enable(m_buffer, EV_READ | EV_WRITE);
 }
 
+void FrameConnection::limitFrames(std::size_t bytes)
+{
+    m_maxFrame = bytes;
+    // The input buffer holds one whole frame at most.
+    bufferevent_setwatermark(m_buffer, EV_READ, 0, bytes + frameHeaderSize);
+}
+
 void FrameConnection::send(std::string_view frame)
 {
     bufferevent_write(m_buffer, frame.data(), frame.size());
@@ -104,7 +110,7 @@
     std::array<std::byte, frameHeaderSize> header{};
     while (evbuffer_copyout(input, header.data(), header.size()) == static_cast<ev_ssize_t>(header.size())) {
         const std::size_t size = frameSize(header);
-        if (size > maxFrameSize) {
+        if (size > m_maxFrame) {
             callGuarded("frames", [&] { m_handlers.refused(m_handlers.state, m_handlers.id, FrameProblem::TooLarge); });
             return;
         }
--- a/drivers/peer_protocol/frame_connection.h
+++ b/drivers/peer_protocol/frame_connection.h
@@ -17,6 +17,11 @@
 namespace wigeonkeel
 {
 
+/// Largest frame of a connection that was accepted and has not said who it is, in bytes. The first message has a name,
+/// an address and a few numbers. Without this limit each of many such connections can make this side keep a frame of
+/// the largest size.
+inline constexpr std::size_t maxFirstFrameSize = std::size_t{16} << 10;
+
 /// What a connection tells its owner. The owner may destroy the connection in any of these functions.
 struct FrameHandlers
 {
@@ -46,6 +51,8 @@
     FrameConnection &operator=(const FrameConnection &) = delete;
 
     void send(std::string_view frame);
+    /// Largest frame that is received, in bytes without its header; `maxFrameSize` at first. Larger ones are refused.
+    void limitFrames(std::size_t bytes);
     /// Bytes that the peer has not taken yet, without what the system has buffered.
     std::size_t queuedBytes() const;
 
@@ -56,6 +63,7 @@
 
     FrameHandlers m_handlers;
     bufferevent *m_buffer = nullptr;
+    std::size_t m_maxFrame = maxFrameSize;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/modules/cluster_link/cluster_links.cpp
+++ b/modules/cluster_link/cluster_links.cpp
@@ -23,6 +23,32 @@
 /// A connection is closed if more than this waits to be sent, because the other daemon does not read.
 constexpr std::size_t maxQueuedBytes = 4 << 20;
 
+/// Accepted connections that have not sent a presence message, which a daemon sends at once. There are at most 40
+/// daemons, which may all connect to a new leader at the same time.
+constexpr std::size_t maxUnidentified = 64;
+/// At most one end of a connection without a name is logged in this time.
+constexpr milliseconds endLogInterval{1000};
+
+bool isUnidentified(const ClusterConnection &connection)
+{
+    return !connection.dialled && connection.node.empty();
+}
+
+/// Whoever reaches the port may open and close connections, so that ends of those without a name are mostly counted.
+void logEnd(ClusterLinks &links, const ClusterConnection &connection, std::string_view reason)
+{
+    if (isUnidentified(connection)) {
+        const MonotonicTime now = links.kernel.clock.now();
+        if (now < links.nextEndLog) {
+            ++links.unloggedEnds;
+            return;
+        }
+        links.nextEndLog = now + endLogInterval;
+    }
+    logLine(LogLevel::Info, logPart, "Connection closed. node={} reason={} unlogged_before={}", connection.node, reason,
+        std::exchange(links.unloggedEnds, 0));
+}
+
 void close(ClusterLinks &links, std::uint64_t id, std::string_view reason)
 {
     const auto found = links.connections.find(id);
@@ -37,7 +63,7 @@
         links.dialledId = 0;
         links.target = {};
     }
-    logLine(LogLevel::Info, logPart, "Connection closed. node={} reason={}", connection.node, reason);
+    logEnd(links, connection, reason);
     const bool wasLast = std::ranges::none_of(
         links.connections, [&connection](const auto &other) { return other.second.node == connection.node; });
     post(links.kernel, [&](Node &node, Now now) {
@@ -68,8 +94,12 @@
         return;
     }
     ClusterConnection &connection = found->second;
-    connection.lastReceived = links.kernel.clock.now();
     const auto body = decodePeerBody(bytes);
+    if (!body && isUnidentified(connection)) {
+        close(links, id, "the first message can't be read");
+        return;
+    }
+    connection.lastReceived = links.kernel.clock.now();
     if (!body) {
         logLine(LogLevel::Warning, logPart, "A message can't be read. node={} bytes={}", connection.node, bytes.size());
         return;
@@ -78,6 +108,7 @@
     const bool isNew = connection.node.empty() && presence != nullptr;
     if (isNew) {
         connection.node = presence->node;
+        connection.frames->limitFrames(maxFrameSize);
     }
     post(links.kernel, [&](Node &node, Now now) {
         if (isNew) {
@@ -144,6 +175,22 @@
     frames.send(encodePeerBody(message.body));
 }
 
+/// Makes room for a new connection. The oldest has had the most time to say who it is.
+void closeOldestUnidentified(ClusterLinks &links)
+{
+    std::size_t count = 0;
+    std::uint64_t oldest = 0;
+    for (const auto &[id, connection] : links.connections) {
+        if (isUnidentified(connection)) {
+            oldest = count == 0 ? id : oldest;
+            ++count;
+        }
+    }
+    if (count >= maxUnidentified) {
+        close(links, oldest, "too many connections did not say who they are");
+    }
+}
+
 void closeUnresponsive(ClusterLinks &links)
 {
     const MonotonicTime now = links.kernel.clock.now();
@@ -164,10 +211,12 @@
 {
     const auto accept = [](void *state, int socket) {
         auto &owner = *static_cast<ClusterLinks *>(state);
+        closeOldestUnidentified(owner);
         const std::uint64_t id = owner.nextId++;
         ClusterConnection &connection = owner.connections[id];
         connection.lastReceived = owner.kernel.clock.now();
         connection.frames = std::make_unique<FrameConnection>(owner.kernel.loop, socket, handlers(owner, id));
+        connection.frames->limitFrames(maxFirstFrameSize);
     };
     links.listener = std::make_unique<FrameListener>(links.kernel.loop, accept, &links);
     links.receiveTimer = std::make_unique<Timer>(links.kernel.loop, [&links] { closeUnresponsive(links); });
--- a/modules/cluster_link/cluster_links.h
+++ b/modules/cluster_link/cluster_links.h
@@ -32,6 +32,9 @@
     std::unique_ptr<FrameListener> listener;
     std::unique_ptr<Timer> receiveTimer;
     sigc::connection actions;
+    /// Connections without a name whose end was not logged, and when the next one is.
+    std::uint64_t unloggedEnds = 0;
+    MonotonicTime nextEndLog{};
 };
 
 Error startLinks(ClusterLinks &links);
--- a/modules/peer_link/peer_links.cpp
+++ b/modules/peer_link/peer_links.cpp
@@ -163,6 +163,7 @@
     }
     PeerConnection &connection = links.connections.at(id);
     connection.peer = hello.from;
+    connection.frames->limitFrames(maxFrameSize);
     const auto inUse = links.byName.find(hello.from.name);
     if (inUse != links.byName.end()) {
         const std::uint64_t former = inUse->second;
@@ -275,6 +276,7 @@
     if (links.connections.size() >= links.byName.size() + links.options.maxUnknown) {
         return;
     }
+    connection.frames->limitFrames(maxFirstFrameSize);
     links.connections.emplace(id, std::move(connection));
     sendHello(links, id);
 }
