--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -350,9 +350,9 @@
         "Job accepted. job={} queue={} tenant={} above_rate={} steps={} tasks={} due_in_ms={} ends_known={} "
         "ends_removed={}",
         formatJobId(job.record.id), job.record.queue.name, job.record.tenant, job.record.isExcess,
-        job.record.spec.steps.size(),
-        job.record.spec.steps.front().count, std::chrono::floor<milliseconds>(job.dueBy - now.monotonic).count(),
-        dispatcher.jobs.ended.size(), dispatcher.counters.endsRemoved);
+        job.record.spec.steps.size(), job.record.spec.steps.front().count,
+        std::chrono::floor<milliseconds>(job.dueBy - now.monotonic).count(), dispatcher.jobs.ended.size(),
+        dispatcher.counters.endsRemoved);
     for (const CallId call : job.waitingSubmits) {
         answer(dispatcher, {.call = call, .outcome = ClientOutcome::Ok});
     }
