--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -136,15 +136,26 @@
     logLine(LogLevel::Info, logPart, "Submission of a known job. job={} state={}", formatJobId(id), state);
 }
 
+/// Whether no other daemon can lead yet. Otherwise a job that this leader doesn't know may have been accepted
+/// elsewhere, and must not be called rejected.
+bool isClaimInForce(const Dispatcher &dispatcher, MonotonicTime now)
+{
+    return now - dispatcher.claimConfirmedAt < claimLease;
+}
+
 /// Rejects a job that can't run at all, or not within its tenant's cap.
-bool rejectImpossible(Dispatcher &dispatcher, const ClientCall &call, const JobRecord &record)
+bool rejectImpossible(Dispatcher &dispatcher, const ClientCall &call, const JobRecord &record, MonotonicTime now)
 {
     TenantState &tenant = dispatcher.tenants.rows[addTenant(dispatcher.tenants, record.tenant)];
     std::string detail = findCapProblem(tenant, record.spec);
-    tenant.rejectedByCap += detail.empty() ? 0 : 1;
     if (detail.empty() && isPossible(dispatcher, record)) {
         return false;
     }
+    if (!detail.empty() && !isClaimInForce(dispatcher, now)) {
+        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Unknown});
+        return true;
+    }
+    tenant.rejectedByCap += detail.empty() ? 0 : 1;
     ++dispatcher.counters.rejected;
     logLine(LogLevel::Info, logPart, "Job rejected. job={} queue={} tenant={} reason={}", formatJobId(call.job),
         call.queue, record.tenant, detail.empty() ? "no worker is large enough" : detail);
@@ -189,10 +200,14 @@
         rejectJob(dispatcher, call, overloadRetryAfter, "store overloaded");
         return;
     }
-    if (rejectImpossible(dispatcher, call, *record)) {
+    if (rejectImpossible(dispatcher, call, *record, now.monotonic)) {
         return;
     }
     if (const auto retryAfter = applySubmissionRate(dispatcher, *record, now.monotonic)) {
+        if (!isClaimInForce(dispatcher, now.monotonic)) {
+            answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Unknown});
+            return;
+        }
         rejectJob(dispatcher, call, *retryAfter, "tenant above its rate while the pool is full");
         return;
     }
--- a/tests/dispatch/tenant_caps_test.cpp
+++ b/tests/dispatch/tenant_caps_test.cpp
@@ -253,6 +253,18 @@
     CHECK_EQUAL(2U, capped.leader().tenants.rows[addTenant(capped.leader().tenants, "alder")].rejectedByCap);
 }
 
+// Guards against a leader that stood still and calls a job rejected that its successor has accepted meanwhile; soak
+// seed 10030.
+TEST(DispatchTenantCaps, ALeaderWithoutAConfirmedClaimRejectsNothingByTheCap)
+{
+    CappedWorld capped(4, 3000);
+    capped.leader().claimConfirmedAt = capped.leader().claimConfirmedAt - 2 * claimLease;
+    const CallId gang = capped.submit(1, gangOf(4, 1000, milliseconds(300)));
+    capped.world.run(milliseconds(20));
+    const auto answer = capped.world.answerTo(gang);
+    CHECK(answer && answer->outcome == ClientOutcome::Unknown);
+}
+
 // Guards against a lowered cap that stops runs or lets new ones start, and a raised one that takes no effect.
 TEST(DispatchTenantCaps, ALoweredCapHoldsStartsBackAndARaisedOneFreesThem)
 {
--- a/tests/platform/client_front_test.cpp
+++ b/tests/platform/client_front_test.cpp
@@ -36,7 +36,7 @@
         .node = {},
         .action = {},
         .turnTimer = {loop, [this] { kernel.turnScheduled = false; }}};
-    platform::ClientFront front{kernel, {.ip = address}, {.ip = address}};
+    platform::ClientFront front{kernel, {.ip = address}, {.ip = address}, platform::clientBounds({})};
 
     void setup() override
     {
