tests: run the crowds of untrusted clients under the sanitizers

Change: for a sanitized build only, what it takes at rest comes on top of the bound; the bound of other builds and the client load are unchanged. The sanitizers keep 1 MiB of freed memory.

--- a/tests/process/untrusted_clients.py
+++ b/tests/process/untrusted_clients.py
@@ -20,6 +20,8 @@
 MAX_FRAME = 1 << 20
 FRAME_CROWD = 160
 SAMPLE_S = 0.02
+# For builds with the sanitizers: what they keep of freed memory is not the process's.
+SANITIZER_ENV = {"ASAN_OPTIONS": "quarantine_size_mb=1:malloc_context_size=4"}
 
 
 def get(path):
@@ -228,9 +230,19 @@
     return False
 
 
+def sanitizer_bytes(pid):
+    """What a process at rest takes if it was built with the sanitizers, whose shadow memory is not its own; otherwise 0."""
+    with open(f"/proc/{pid}/exe", "rb") as program:
+        if b"__asan_init" not in program.read():
+            return 0
+    with open(f"/proc/{pid}/status", encoding="ascii") as file:
+        return next(int(line.split()[1]) << 10 for line in file if line.startswith("VmRSS:"))
+
+
 def check_address(pid, address, port, patterns, ask_port, ask_path, limits):
     """Plays the patterns against one address of a process. Returns what did not hold."""
     max_bytes, max_descriptors = limits
+    max_bytes += sanitizer_bytes(pid)
     problems = []
     for name, play in patterns:
         watch = Watch(pid, [port])
--- a/tests/process/untrusted_daemon_test.py
+++ b/tests/process/untrusted_daemon_test.py
@@ -2,13 +2,14 @@
 listens on."""
 
 import json
+import os
 import resource
 import sys
 import time
 
 from load import OPERATOR_HEADERS, request, wait_ready
 from cluster import CALLER_PORT, METRICS_PORT, OPERATOR_PORT, PEER_PORT, Cluster, http_call
-from untrusted_clients import answered, check_address, frame_patterns, http_patterns
+from untrusted_clients import SANITIZER_ENV, answered, check_address, frame_patterns, http_patterns
 
 MEMORY_MB = 64
 MAX_FDS = 320
@@ -26,6 +27,8 @@
 
 
 def main():
+    for name, value in SANITIZER_ENV.items():
+        os.environ.setdefault(name, value)
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, max(soft, 2048)), hard))
     problems = []
