http: forget a connection when evhttp closes it

The connections that a server tracks were compared with their sockets' inodes. Two lint errors in core/dispatch are mended.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -43,7 +43,7 @@
     return health.failing && now - health.failingSince > storeFailureTolerance;
 }
 
-void answer(Dispatcher &dispatcher, const ClientAnswer &answer)
+void answer(Dispatcher &dispatcher, ClientAnswer answer)
 {
     dispatcher.outbox->add(LeaderAnswer{.answer = std::move(answer)});
 }
--- a/core/dispatch/records.cpp
+++ b/core/dispatch/records.cpp
@@ -338,7 +338,7 @@
 
 std::string encodeEnd(const EndRecord &record)
 {
-    const std::string text = fmt::format("{} {}", stateName(record.state), record.endedAt.time_since_epoch().count());
+    std::string text = fmt::format("{} {}", stateName(record.state), record.endedAt.time_since_epoch().count());
     if (record.tenant.empty()) {
         return text;
     }
--- a/drivers/http/connection_limit.cpp
+++ b/drivers/http/connection_limit.cpp
@@ -8,7 +8,6 @@
 #include <event2/http.h>
 #include <event2/listener.h>
 #include <sys/ioctl.h>
-#include <sys/stat.h>
 
 namespace wigeonkeel
 {
@@ -32,14 +31,6 @@
 constexpr std::array<std::string_view, httpLimitCount> limitNames
     = {"idle", "request_time", "response_time", "connections", "held_bytes", "refused"};
 
-ino_t inodeOf(int fd)
-{
-    struct stat status
-    {
-    };
-    return fstat(fd, &status) == 0 ? status.st_ino : 0;
-}
-
 /// Bytes that have arrived on a socket and were not read yet.
 std::size_t unreadBytes(int fd)
 {
@@ -112,23 +103,39 @@
 {
     const MonotonicTime now = m_loop.now();
     for (bufferevent *fresh : m_fresh) {
-        const int fd = bufferevent_getfd(fresh);
-        Connection &connection = m_open[fd];
-        m_heldBytes -= connection.held;
-        connection = {.owner = this,
+        // evhttp has set its callbacks, whose argument is its connection; no other function tells it this early.
+        void *connection = nullptr;
+        bufferevent_getcb(fresh, nullptr, nullptr, nullptr, &connection);
+        Connection &entry = m_open[fresh];
+        entry = {.owner = this,
             .buffer = fresh,
-            .inode = inodeOf(fd),
             .number = m_nextNumber++,
             .idleSince = now,
             .requestSince = {},
             .closeAfter = {}};
-        // The callback ends with the connection's buffer; entries of a map stay where they are until they are erased,
-        // which they are after the connection was closed.
-        evbuffer_add_cb(bufferevent_get_input(fresh), handleInput, &connection);
+        watchEnd(static_cast<evhttp_connection *>(connection));
+        // The callback ends with the connection's buffer; entries of a map stay where they are until they are erased.
+        evbuffer_add_cb(bufferevent_get_input(fresh), handleInput, &entry);
     }
     m_fresh.clear();
 }
 
+void ConnectionLimit::watchEnd(evhttp_connection *connection)
+{
+    evhttp_connection_set_closecb(
+        connection, [](evhttp_connection *closed, void *self) { static_cast<ConnectionLimit *>(self)->forget(closed); },
+        this);
+}
+
+void ConnectionLimit::forget(evhttp_connection *connection)
+{
+    const auto found = m_open.find(evhttp_connection_get_bufferevent(connection));
+    if (found != m_open.end()) {
+        m_heldBytes -= found->second.held;
+        m_open.erase(found);
+    }
+}
+
 void ConnectionLimit::handleInput(evbuffer *, const evbuffer_cb_info *info, void *argument)
 {
     auto &connection = *static_cast<Connection *>(argument);
@@ -174,15 +181,6 @@
     connection.held = held;
 }
 
-void ConnectionLimit::forgetClosed()
-{
-    std::erase_if(m_open, [this](const auto &open) {
-        const bool closed = inodeOf(open.first) != open.second.inode;
-        m_heldBytes -= closed ? open.second.held : 0;
-        return closed;
-    });
-}
-
 bool ConnectionLimit::mayHaveRequest(const Connection &connection) const
 {
     return phaseOf(connection) != Phase::Writing
@@ -202,12 +200,8 @@
     return connection.received >= *connection.closeAfter;
 }
 
-void ConnectionLimit::close(int fd, HttpLimit reason)
+void ConnectionLimit::close(bufferevent *buffer, HttpLimit reason)
 {
-    const auto found = m_open.find(fd);
-    bufferevent *buffer = found->second.buffer;
-    m_heldBytes -= found->second.held;
-    m_open.erase(found);
     // evhttp frees the connection when it times out, whatever it does at that moment.
     bufferevent_trigger_event(buffer, BEV_EVENT_TIMEOUT | BEV_EVENT_READING, 0);
     if (m_options.reached) {
@@ -217,23 +211,23 @@
 
 void ConnectionLimit::closeOverdue(MonotonicTime now)
 {
-    std::vector<std::pair<int, HttpLimit>> overdue;
-    for (auto &[fd, connection] : m_open) {
+    std::vector<std::pair<bufferevent *, HttpLimit>> overdue;
+    for (auto &[buffer, connection] : m_open) {
         const Phase phase = phaseOf(connection);
         const auto age = now - phaseBegan(connection);
         const bool paused = phase == Phase::Serving || phase == Phase::Writing;
-        connection.unread = paused ? unreadBytes(fd) : 0;
+        connection.unread = paused ? unreadBytes(bufferevent_getfd(buffer)) : 0;
         recount(connection);
         if (phase == Phase::Idle && age >= m_options.idleTimeout && !mayHaveRequest(connection)) {
-            overdue.emplace_back(fd, HttpLimit::Idle);
+            overdue.emplace_back(buffer, HttpLimit::Idle);
         } else if (phase == Phase::Arriving && age >= m_options.requestTimeout && isRequestOver(connection)) {
-            overdue.emplace_back(fd, HttpLimit::RequestTime);
+            overdue.emplace_back(buffer, HttpLimit::RequestTime);
         } else if (phase == Phase::Writing && age >= m_options.responseTimeout) {
-            overdue.emplace_back(fd, HttpLimit::ResponseTime);
+            overdue.emplace_back(buffer, HttpLimit::ResponseTime);
         }
     }
-    for (const auto &[fd, reason] : overdue) {
-        close(fd, reason);
+    for (const auto &[buffer, reason] : overdue) {
+        close(buffer, reason);
     }
 }
 
@@ -243,14 +237,14 @@
     {
         bool isIdle = false;
         std::uint64_t number = 0;
-        int fd = 0;
+        bufferevent *buffer = nullptr;
     };
     std::vector<Candidate> candidates;
-    for (const auto &[fd, connection] : m_open) {
+    for (const auto &[buffer, connection] : m_open) {
         const Phase phase = phaseOf(connection);
         if (phase != Phase::Serving && now - phaseBegan(connection) >= minAgeToMakeRoom
             && !mayHaveRequest(connection)) {
-            candidates.push_back({.isIdle = phase == Phase::Idle, .number = connection.number, .fd = fd});
+            candidates.push_back({.isIdle = phase == Phase::Idle, .number = connection.number, .buffer = buffer});
         }
     }
     // Idle ones first, and of those the newest: clients that were here before the crowd keep theirs.
@@ -259,25 +253,24 @@
     const std::size_t most = std::max<std::size_t>(1, m_options.maxConnections / placesPerSweep);
     candidates.resize(std::min(candidates.size(), most));
     for (const Candidate &candidate : candidates) {
-        close(candidate.fd, HttpLimit::Connections);
+        close(candidate.buffer, HttpLimit::Connections);
     }
 }
 
 void ConnectionLimit::relieve()
 {
-    forgetClosed();
     struct Candidate
     {
         MonotonicTime since{};
-        int fd = 0;
+        bufferevent *buffer = nullptr;
         std::size_t held = 0;
     };
     std::vector<Candidate> candidates;
     std::size_t closable = 0;
-    for (auto &[fd, connection] : m_open) {
+    for (auto &[buffer, connection] : m_open) {
         recount(connection);
         if (phaseOf(connection) != Phase::Serving && connection.held > 0) {
-            candidates.push_back({.since = phaseBegan(connection), .fd = fd, .held = connection.held});
+            candidates.push_back({.since = phaseBegan(connection), .buffer = buffer, .held = connection.held});
             closable += connection.held;
         }
     }
@@ -293,14 +286,13 @@
             return;
         }
         closable -= candidate.held;
-        close(candidate.fd, HttpLimit::HeldBytes);
+        close(candidate.buffer, HttpLimit::HeldBytes);
     }
 }
 
 void ConnectionLimit::sweep()
 {
     const MonotonicTime now = m_loop.now();
-    forgetClosed();
     closeOverdue(now);
     if (isFull()) {
         relieve();
@@ -317,9 +309,8 @@
 
 ConnectionLimit::Connection *ConnectionLimit::find(evhttp_connection *connection)
 {
-    bufferevent *buffer = evhttp_connection_get_bufferevent(connection);
-    const auto found = m_open.find(bufferevent_getfd(buffer));
-    return found != m_open.end() && found->second.buffer == buffer ? &found->second : nullptr;
+    const auto found = m_open.find(evhttp_connection_get_bufferevent(connection));
+    return found == m_open.end() ? nullptr : &found->second;
 }
 
 void ConnectionLimit::markBusy(evhttp_connection *connection, std::size_t requestBytes)
--- a/drivers/http/connection_limit.h
+++ b/drivers/http/connection_limit.h
@@ -10,8 +10,6 @@
 #include <string_view>
 #include <vector>
 
-#include <sys/types.h>
-
 struct bufferevent;
 struct evbuffer;
 struct evbuffer_cb_info;
@@ -64,6 +62,11 @@
     /// A request came in on this connection: it is not timed until it is answered. `requestBytes` are held until then.
     void markBusy(evhttp_connection *connection, std::size_t requestBytes);
     void markIdle(evhttp_connection *connection);
+    /// Makes evhttp report the end of the connection to this class. Whoever sets another close callback has to call
+    /// forget() from it.
+    void watchEnd(evhttp_connection *connection);
+    /// The connection is about to be freed.
+    void forget(evhttp_connection *connection);
     /// A response waits to be written, or has been written.
     void updateOutput(evhttp_connection *connection);
     std::size_t open() const { return m_open.size(); }
@@ -77,8 +80,6 @@
     {
         ConnectionLimit *owner = nullptr;
         bufferevent *buffer = nullptr;
-        /// Tells a connection from a later one with the same file descriptor.
-        ino_t inode = 0;
         /// Rises with each accepted connection.
         std::uint64_t number = 0;
         MonotonicTime idleSince{};
@@ -108,20 +109,19 @@
     void closeOverdue(MonotonicTime now);
     void makeRoom(MonotonicTime now);
     void relieve();
-    void forgetClosed();
     void recount(Connection &connection);
     /// Bytes have arrived that this side will read; they may complete a request.
     bool mayHaveRequest(const Connection &connection) const;
     /// For a request that is due.
     bool isRequestOver(Connection &connection) const;
-    void close(int fd, HttpLimit reason);
+    void close(bufferevent *buffer, HttpLimit reason);
     Connection *find(evhttp_connection *connection);
     milliseconds sweepInterval() const;
 
     EventLoop &m_loop;
     ConnectionLimitOptions m_options;
     evhttp_bound_socket *m_socket = nullptr;
-    std::map<int, Connection> m_open;
+    std::map<bufferevent *, Connection> m_open;
     std::vector<bufferevent *> m_fresh;
     event *m_trackEvent;
     event *m_relieveEvent;
--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -190,7 +190,7 @@
     if (connection != nullptr) {
         m_byConnection.erase(connection);
         m_limit.markIdle(connection);
-        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        m_limit.watchEnd(connection);
     }
     return waiting.request;
 }
@@ -283,12 +283,12 @@
     auto *server = static_cast<HttpServer *>(self);
     server->m_writing.erase(connection);
     const auto found = server->m_byConnection.find(connection);
-    if (found == server->m_byConnection.end()) {
-        return;
+    if (found != server->m_byConnection.end()) {
+        const HttpToken token = found->second;
+        server->take(token);
+        server->reportClientGone(token);
     }
-    const HttpToken token = found->second;
-    server->take(token);
-    server->reportClientGone(token);
+    server->m_limit.forget(connection);
 }
 
 void HttpServer::dispatch(evhttp_request *request)
