configuration: one accessor for the tenants of a configuration

Five places told a missing list from an empty one by themselves, and estimating the size of a transferred configuration copied all tenants with their keys. tenantsOf() gives a view.

--- a/core/dispatch/configuration.cpp
+++ b/core/dispatch/configuration.cpp
@@ -17,8 +17,7 @@
 
 void indexKeys(Configuration &configuration, std::uint64_t seed)
 {
-    configuration.keys
-        = configuration.tenants ? buildKeyIndex(*configuration.tenants, seed) : KeyIndex{.seed = seed, .byHash = {}};
+    configuration.keys = buildKeyIndex(tenantsOf(configuration), seed);
 }
 
 const QueueConfig *findQueue(const Configuration &configuration, std::string_view host, std::string_view path)
--- a/core/dispatch/configuration.h
+++ b/core/dispatch/configuration.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -80,6 +81,12 @@
     absl::flat_hash_map<std::string, std::vector<std::size_t>> byHost;
 };
 
+/// The tenants; empty if the deployment has none.
+inline std::span<const TenantConfig> tenantsOf(const Configuration &configuration)
+{
+    return configuration.tenants ? *configuration.tenants : std::span<const TenantConfig>();
+}
+
 /// Rebuilds the indexes. Call it after `queues` has changed.
 void indexQueues(Configuration &configuration);
 
--- a/core/dispatch/configuration_watch.cpp
+++ b/core/dispatch/configuration_watch.cpp
@@ -35,8 +35,8 @@
         return;
     }
     logLine(LogLevel::Info, logPart, "Configuration in force. version={} before={} queues={} tenants={} source={}",
-        configuration.version, node.configuration.version, configuration.queues.size(),
-        configuration.tenants ? configuration.tenants->size() : 0, source);
+        configuration.version, node.configuration.version, configuration.queues.size(), tenantsOf(configuration).size(),
+        source);
     node.configuration = configuration;
     node.hasConfiguration = true;
     if (node.configuration.tenants) {
@@ -122,8 +122,7 @@
     if (!isNewer(node, transfer.configuration)) {
         return;
     }
-    const std::string problem = findTenantProblem(
-        transfer.configuration.tenants ? *transfer.configuration.tenants : std::span<const TenantConfig>());
+    const std::string problem = findTenantProblem(tenantsOf(transfer.configuration));
     if (!problem.empty()) {
         logLine(LogLevel::Error, logPart,
             "The configuration of another daemon is not valid. node={} version={} problem=\"{}\"", from,
--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -604,8 +604,7 @@
 void setConfiguration(Dispatcher &dispatcher, const Configuration &configuration)
 {
     dispatcher.configuration = configuration;
-    configureTenants(
-        dispatcher.tenants, configuration.tenants ? *configuration.tenants : std::span<const TenantConfig>());
+    configureTenants(dispatcher.tenants, tenantsOf(configuration));
     dispatcher.placementDue = true;
 }
 
--- a/core/dispatch/outbox.cpp
+++ b/core/dispatch/outbox.cpp
@@ -72,7 +72,7 @@
     }
     if (const auto *transfer = std::get_if<ConfigurationTransfer>(&body)) {
         std::size_t size = frame + transfer->configuration.queues.size() * queueSize;
-        for (const TenantConfig &tenant : transfer->configuration.tenants.value_or(std::vector<TenantConfig>{})) {
+        for (const TenantConfig &tenant : tenantsOf(transfer->configuration)) {
             size += tenantSize + tenant.keys.size() * keySize;
         }
         return size;
--- a/drivers/cluster_protocol/cluster_codec.cpp
+++ b/drivers/cluster_protocol/cluster_codec.cpp
@@ -131,10 +131,8 @@
             wire::CreatePool(builder, builder.CreateString(pool.name), pool.workersEnforceCapacity, pool.standby));
     }
     std::vector<flatbuffers::Offset<wire::Tenant>> tenants;
-    if (configuration.tenants) {
-        for (const TenantConfig &tenant : *configuration.tenants) {
-            tenants.push_back(buildTenant(builder, tenant));
-        }
+    for (const TenantConfig &tenant : tenantsOf(configuration)) {
+        tenants.push_back(buildTenant(builder, tenant));
     }
     const ClientLimits &limits = configuration.limits;
     const auto offset = wire::CreateConfigurationTransfer(builder, configuration.version, builder.CreateVector(queues),
