dispatch: one computation of path estimates

criticalPathEstimate() and remainingPathEstimate() walked the steps each in their own way; both read the longest path that begins with each step now.

--- a/core/dispatch/job_table.cpp
+++ b/core/dispatch/job_table.cpp
@@ -52,31 +52,35 @@
     }
 }
 
-milliseconds criticalPathEstimate(const JobSpec &spec)
+namespace
 {
-    std::vector<milliseconds> until;
-    milliseconds longest{0};
-    for (const StepSpec &step : spec.steps) {
-        milliseconds start{0};
-        for (const std::uint32_t before : step.after) {
-            start = std::max(start, until[before]);
-        }
-        until.push_back(start + step.estimate);
-        longest = std::max(longest, until.back());
-    }
-    return longest;
-}
 
-milliseconds remainingPathEstimate(const JobSpec &spec, std::uint32_t step)
+/// For each step, the sum of the estimates on the longest path that begins with it.
+std::vector<milliseconds> pathEstimates(const JobSpec &spec)
 {
     // Steps name earlier steps only, so those that follow a step are complete before it in reverse order.
-    std::vector<milliseconds> following(spec.steps.size(), milliseconds(0));
-    for (std::size_t i = spec.steps.size() - 1; i > step; --i) {
+    std::vector<milliseconds> paths(spec.steps.size(), milliseconds(0));
+    for (std::size_t i = paths.size(); i-- > 0;) {
+        // So far the longest path that begins after the step.
+        paths[i] += spec.steps[i].estimate;
         for (const std::uint32_t before : spec.steps[i].after) {
-            following[before] = std::max(following[before], spec.steps[i].estimate + following[i]);
+            paths[before] = std::max(paths[before], paths[i]);
         }
     }
-    return spec.steps[step].estimate + following[step];
+    return paths;
+}
+
+} // namespace
+
+milliseconds criticalPathEstimate(const JobSpec &spec)
+{
+    const std::vector<milliseconds> paths = pathEstimates(spec);
+    return paths.empty() ? milliseconds(0) : std::ranges::max(paths);
+}
+
+milliseconds remainingPathEstimate(const JobSpec &spec, std::uint32_t step)
+{
+    return pathEstimates(spec)[step];
 }
 
 } // namespace wigeonkeel::dispatch
