--- a/core/dispatch/placement/step_order.cpp
+++ b/core/dispatch/placement/step_order.cpp
@@ -96,19 +96,6 @@
     }
 }
 
-/// Counts the jobs beyond their tenants' rates that have not started.
-void countWaitingExcess(Dispatcher &dispatcher)
-{
-    for (TenantState &tenant : dispatcher.tenants.rows) {
-        tenant.waitingExcess = 0;
-    }
-    for (const auto &[id, job] : dispatcher.jobs.live) {
-        if (job->record.isExcess && !job->started && !isEnded(job->state)) {
-            ++dispatcher.tenants.rows[job->tenant].waitingExcess;
-        }
-    }
-}
-
 void markStepsAboveShare(const Dispatcher &dispatcher, std::span<ReadyStep> ready)
 {
     if (!dispatcher.configuration.tenants) {
@@ -134,9 +121,15 @@
 std::vector<ReadyStep> readySteps(Dispatcher &dispatcher, MonotonicTime now)
 {
     std::vector<ReadyStep> ready;
-    countWaitingExcess(dispatcher);
+    for (TenantState &tenant : dispatcher.tenants.rows) {
+        tenant.waitingExcess = 0;
+    }
     for (auto &[id, job] : dispatcher.jobs.live) {
-        if (job->accepted && !isEnded(job->state) && (!job->inherited || dispatcher.runDiscoveryFinished)) {
+        if (isEnded(job->state)) {
+            continue;
+        }
+        dispatcher.tenants.rows[job->tenant].waitingExcess += job->record.isExcess && !job->started ? 1 : 0;
+        if (job->accepted && (!job->inherited || dispatcher.runDiscoveryFinished)) {
             addReadySteps(dispatcher, *job, now, ready);
         }
     }
