--- a/tests/dispatch/dispatch_placement_test.cpp
+++ b/tests/dispatch/dispatch_placement_test.cpp
@@ -195,16 +195,8 @@
 TEST(DispatchPlacement, AGangThatWaitedHasAllTicketsValidTogether)
 {
     World world(2, 8);
-    world.configuration.queues.push_back({.name = "gangs",
-        .host = "h",
-        .pathPrefix = "/g/",
-        .pool = "pool",
-        .priority = 1,
-        .maxAttempts = 2,
-        .advice
-        = AdviceTimes{.base = milliseconds(575), .perWorker = milliseconds(6), .ticketValidity = milliseconds(1500)}});
-    indexQueues(world.configuration);
-    world.allowedPercent = 100;
+    addAdvisedQueue(world, "gangs",
+        {.base = milliseconds(575), .perWorker = milliseconds(6), .ticketValidity = milliseconds(1500)});
     world.adviceTakesTime = true;
     world.run(settleTime);
     for (JobId id = 1; id <= 3; ++id) {
--- a/tests/dispatch/dispatch_world.cpp
+++ b/tests/dispatch/dispatch_world.cpp
@@ -36,6 +36,19 @@
     return static_cast<std::size_t>(found - world.workers.begin());
 }
 
+void addAdvisedQueue(World &world, std::string name, const AdviceTimes &times)
+{
+    world.configuration.queues.push_back({.name = std::move(name),
+        .host = "h",
+        .pathPrefix = "/a/",
+        .pool = "pool",
+        .priority = 1,
+        .maxAttempts = 2,
+        .advice = times});
+    indexQueues(world.configuration);
+    world.allowedPercent = 100;
+}
+
 StepSpec stepOf(std::uint32_t count, std::int64_t cpuMilli, milliseconds estimate)
 {
     return {.count = count, .size = {.cpuMilli = cpuMilli, .memoryMib = 100}, .estimate = estimate};
--- a/tests/dispatch/dispatch_world.h
+++ b/tests/dispatch/dispatch_world.h
@@ -371,6 +371,9 @@
 /// Fails the running test with the first violation.
 void checkNoViolations(const World &world);
 
+/// Adds a queue of medium priority to the next version of the settings; the adviser allows all workers.
+void addAdvisedQueue(World &world, std::string name, const AdviceTimes &times);
+
 /// The worker that runs something; the number of workers if none does.
 std::size_t busyWorker(const World &world);
 
--- a/tests/dispatch/place_wait_test.cpp
+++ b/tests/dispatch/place_wait_test.cpp
@@ -355,16 +355,8 @@
     World world(2, 4);
     setRacks(world, 2);
     setRemoteFactor(world, 2.0);
-    world.configuration.queues.push_back({.name = "gangs",
-        .host = "h",
-        .pathPrefix = "/g/",
-        .pool = "pool",
-        .priority = 1,
-        .maxAttempts = 2,
-        .advice
-        = AdviceTimes{.base = milliseconds(50), .perWorker = milliseconds(1), .ticketValidity = milliseconds(1500)}});
-    indexQueues(world.configuration);
-    world.allowedPercent = 100;
+    addAdvisedQueue(
+        world, "gangs", {.base = milliseconds(50), .perWorker = milliseconds(1), .ticketValidity = milliseconds(1500)});
     world.adviceTakesTime = true;
     world.run(settleTime);
     JobSpec longFiller{.payload = "l", .steps = {stepOf(1, wholeWorker, milliseconds(9000))}};
--- a/tests/dispatch/tenant_caps_test.cpp
+++ b/tests/dispatch/tenant_caps_test.cpp
@@ -93,20 +93,6 @@
     }
 };
 
-/// Adds the queue "advised" to the next version; the adviser allows each worker after this time.
-void addAdvisedQueue(World &world, milliseconds base)
-{
-    world.configuration.queues.push_back({.name = "advised",
-        .host = "h",
-        .pathPrefix = "/a/",
-        .pool = "pool",
-        .priority = 1,
-        .maxAttempts = 2,
-        .advice = AdviceTimes{.base = base, .perWorker = milliseconds(1), .ticketValidity = milliseconds(1500)}});
-    indexQueues(world.configuration);
-    world.allowedPercent = 100;
-}
-
 /// The running sums by a full recount of all runs that workers are charged for, and of all reserved places.
 std::vector<std::pair<Resources, Resources>> recount(const Dispatcher &dispatcher)
 {
@@ -289,7 +275,8 @@
 {
     CappedWorld capped(1, 4000);
     World &world = capped.world;
-    addAdvisedQueue(world, milliseconds(575));
+    addAdvisedQueue(world, "advised",
+        {.base = milliseconds(575), .perWorker = milliseconds(1), .ticketValidity = milliseconds(1500)});
     world.adviceTakesTime = true;
     capped.setCap(4000);
     capped.submit(0x101, jobOf(4, 1000, milliseconds(3000)));
@@ -488,7 +475,8 @@
 {
     CappedWorld capped(4, 1000);
     World &world = capped.world;
-    addAdvisedQueue(world, milliseconds(20));
+    addAdvisedQueue(world, "advised",
+        {.base = milliseconds(20), .perWorker = milliseconds(1), .ticketValidity = milliseconds(1500)});
     capped.setCap(1000);
     capped.submit(1, jobOf(1, 1000, milliseconds(3000)), "advised");
     CHECK(world.runUntil([&] { return world.starts == 1; }, milliseconds(1500)));
--- a/tests/modules/cluster_metrics/workers_by_speed_test.cpp
+++ b/tests/modules/cluster_metrics/workers_by_speed_test.cpp
@@ -1,24 +1,12 @@
-#include "drivers/clock/system_clock.h"
 #include "modules/cluster_metrics/cluster_metrics.h"
+#include "tests/dispatch/kernel_test.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace wigeonkeel;
 using namespace wigeonkeel::dispatch;
 
-TEST_GROUP(WorkersBySpeed)
-{
-    EventLoop loop{systemClock()};
-    prometheus::Registry registry;
-    DispatchKernel kernel{.loop = loop,
-        .clock = systemClock(),
-        .peerListenEndpoint = {},
-        .metrics = {},
-        .metricsRegistry = registry,
-        .node = {},
-        .action = {},
-        .turnTimer = {loop, [this] { kernel.turnScheduled = false; }}};
-};
+TEST_GROUP_BASE(WorkersBySpeed, KernelTest){};
 
 // Guards against workers that were removed but are still counted, and against counts under the label of another class.
 TEST(WorkersBySpeed, ListedWorkersAreCountedByClass)
--- a/tests/platform/worker_calls_test.cpp
+++ b/tests/platform/worker_calls_test.cpp
@@ -1,7 +1,7 @@
 #include "platform/worker_calls.h"
 
-#include "drivers/clock/system_clock.h"
 #include "tests/contract/standin_process.h"
+#include "tests/dispatch/kernel_test.h"
 #include "tests/drivers/http/raw_socket.h"
 
 #include <unistd.h>
@@ -40,18 +40,8 @@
 
 } // namespace
 
-TEST_GROUP(WorkerCalls)
+TEST_GROUP_BASE(WorkerCalls, KernelTest)
 {
-    EventLoop loop{systemClock()};
-    prometheus::Registry metrics;
-    DispatchKernel kernel{.loop = loop,
-        .clock = systemClock(),
-        .peerListenEndpoint = {},
-        .metrics = {},
-        .metricsRegistry = metrics,
-        .node = {},
-        .action = {},
-        .turnTimer = {loop, [this] { kernel.turnScheduled = false; }}};
     platform::WorkerCalls calls{kernel, {}};
     SilentServer former;
     SilentServer present;
