--- a/modules/cluster_link/cluster_links.cpp
+++ b/modules/cluster_link/cluster_links.cpp
@@ -37,16 +37,13 @@
 /// Whoever reaches the port may open and close connections, so that ends of those without a name are mostly counted.
 void logEnd(ClusterLinks &links, const ClusterConnection &connection, std::string_view reason)
 {
-    if (isUnidentified(connection)) {
-        const MonotonicTime now = links.kernel.clock.now();
-        if (now < links.nextEndLog) {
-            ++links.unloggedEnds;
-            return;
-        }
-        links.nextEndLog = now + endLogInterval;
+    const auto unlogged = isUnidentified(connection)
+        ? takeLogLine(links.endLog, links.kernel.clock.now(), endLogInterval)
+        : std::exchange(links.endLog.suppressed, 0);
+    if (unlogged) {
+        logLine(LogLevel::Info, logPart, "Connection closed. node={} reason={} unlogged_before={}", connection.node,
+            reason, *unlogged);
     }
-    logLine(LogLevel::Info, logPart, "Connection closed. node={} reason={} unlogged_before={}", connection.node, reason,
-        std::exchange(links.unloggedEnds, 0));
 }
 
 void close(ClusterLinks &links, std::uint64_t id, std::string_view reason)
--- a/modules/cluster_link/cluster_links.h
+++ b/modules/cluster_link/cluster_links.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/dispatch/dispatch_kernel.h"
+#include "core/log_limit.h"
 #include "drivers/peer_protocol/frame_connection.h"
 
 #include <map>
@@ -32,9 +33,8 @@
     std::unique_ptr<FrameListener> listener;
     std::unique_ptr<Timer> receiveTimer;
     sigc::connection actions;
-    /// Connections without a name whose end was not logged, and when the next one is.
-    std::uint64_t unloggedEnds = 0;
-    MonotonicTime nextEndLog{};
+    /// Of the ends of connections without a name.
+    LogLimit endLog;
 };
 
 Error startLinks(ClusterLinks &links);
--- a/tests/platform/client_front_test.cpp
+++ b/tests/platform/client_front_test.cpp
@@ -1,8 +1,8 @@
 #include "platform/client_front.h"
 
 #include "core/dispatch/records.h"
-#include "drivers/clock/system_clock.h"
 #include "tests/contract/standin_process.h"
+#include "tests/dispatch/kernel_test.h"
 #include "tests/drivers/http/raw_socket.h"
 
 #include <CppUTest/TestHarness.h>
@@ -24,18 +24,8 @@
 
 } // namespace
 
-TEST_GROUP(ClientFront)
+TEST_GROUP_BASE(ClientFront, KernelTest)
 {
-    EventLoop loop{systemClock()};
-    prometheus::Registry metrics;
-    DispatchKernel kernel{.loop = loop,
-        .clock = systemClock(),
-        .peerListenEndpoint = {},
-        .metrics = {},
-        .metricsRegistry = metrics,
-        .node = {},
-        .action = {},
-        .turnTimer = {loop, [this] { kernel.turnScheduled = false; }}};
     platform::ClientFront front{kernel, {.ip = address}, {.ip = address}, platform::clientBounds({})};
 
     void setup() override
@@ -123,14 +113,14 @@
 // Guards against a flood of refused calls that fills the log: five lines a second, the rest is counted.
 TEST(ClientFront, MostRefusedCallsAreNotLogged)
 {
-    front.nextRefusalLog = kernel.clock.now() + std::chrono::hours(1);
+    front.refusalLog.next = kernel.clock.now() + std::chrono::hours(1);
     for (int i = 0; i < 20; ++i) {
         CHECK(answerTo("GET", "/c/", "").starts_with("HTTP/1.1 401"));
     }
-    CHECK_EQUAL(20U, front.unloggedRefusals);
-    front.nextRefusalLog = {};
+    CHECK_EQUAL(20U, front.refusalLog.suppressed);
+    front.refusalLog.next = {};
     CHECK(answerTo("GET", "/c/", "").starts_with("HTTP/1.1 401"));
-    CHECK_EQUAL(0U, front.unloggedRefusals);
+    CHECK_EQUAL(0U, front.refusalLog.suppressed);
     checkCounted("missing_key", 21);
 }
 
@@ -166,12 +156,12 @@
 {
     const auto client = send("GET", fmt::format("/c/{}", job), "Bearer s3cr3t-b");
     CHECK(eventually([&] { return !front.waiting.empty(); }));
-    front.nextRefusalLog = kernel.clock.now() + std::chrono::hours(1);
+    front.refusalLog.next = kernel.clock.now() + std::chrono::hours(1);
     const CallId call = front.waiting.begin()->first;
     handleAction(front, AnswerClient{.answer = {.call = call, .outcome = ClientOutcome::Forbidden, .detail = {}}});
     CHECK(eventually([&] { return client->received().find("\r\n\r\n") != std::string::npos; }));
     CHECK(client->received().starts_with("HTTP/1.1 403"));
-    CHECK_EQUAL(1U, front.unloggedRefusals);
+    CHECK_EQUAL(1U, front.refusalLog.suppressed);
     checkCounted("other_tenant", 1);
 }
 
