--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -36,6 +36,11 @@
 constexpr std::size_t maxWaitingQueries = 8192;
 /// Most calls about unknown jobs that read from the store at one time; a share of the reads that it grants.
 constexpr std::size_t maxUnknownJobReads = 64;
+/// Most steps in the open occurrences of a timed job, unless one occurrence has more. The record of its progress names
+/// each of them and has to fit into a value of the store.
+constexpr std::size_t maxOpenSteps = 1024;
+/// One in so many bytes of the memory for jobs may hold calls that wait for the records of ended jobs.
+constexpr std::size_t deferredShare = 4;
 
 bool isStoreUnavailable(const Dispatcher &dispatcher, MonotonicTime now)
 {
@@ -131,6 +136,32 @@
     return *(dispatcher.jobs.live[id] = std::move(job));
 }
 
+void removeJob(Dispatcher &dispatcher, JobId id)
+{
+    const auto found = dispatcher.jobs.live.find(id);
+    releaseCharge(dispatcher.jobMemory, dispatcher.tenants, *found->second);
+    dispatcher.jobs.live.erase(found);
+}
+
+/// Adds what is known of a job after its end; false if it is known already.
+bool addEnded(Dispatcher &dispatcher, JobId id, const EndedJob &ended)
+{
+    if (!dispatcher.jobs.ended.emplace(id, ended).second) {
+        return false;
+    }
+    chargeEnded(dispatcher.jobMemory, dispatcher.tenants, ended.tenant);
+    return true;
+}
+
+void forgetEnded(Dispatcher &dispatcher, JobId id)
+{
+    const auto found = dispatcher.jobs.ended.find(id);
+    if (found != dispatcher.jobs.ended.end()) {
+        releaseEnded(dispatcher.jobMemory, dispatcher.tenants, found->second.tenant);
+        dispatcher.jobs.ended.erase(found);
+    }
+}
+
 void logRepeatedSubmission(JobId id, std::string_view state)
 {
     logLine(LogLevel::Info, logPart, "Submission of a known job. job={} state={}", formatJobId(id), state);
@@ -163,6 +194,34 @@
     return true;
 }
 
+/// Rejects a job that this leader, or a successor of the same size, could not hold beside the others.
+bool rejectForMemory(Dispatcher &dispatcher, const ClientCall &call, const JobRecord &record, MonotonicTime now)
+{
+    const TenantSlot tenant = addTenant(dispatcher.tenants, record.tenant);
+    const std::size_t bytes = submittedBytes(record, call.record.size());
+    const JobFit fit = findRoom(dispatcher.jobMemory, dispatcher.tenants, tenant, bytes);
+    if (fit == JobFit::Fits) {
+        return false;
+    }
+    ++dispatcher.counters.rejectedByMemory;
+    if (!isClaimInForce(dispatcher, now)) {
+        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Unknown});
+    } else if (fit == JobFit::Full) {
+        rejectJob(dispatcher, call, retryAfterRelease(dispatcher.jobMemory, dispatcher.tenants, tenant, bytes),
+            "jobs take too much memory");
+    } else {
+        ++dispatcher.counters.rejected;
+        logLine(LogLevel::Info, logPart, "Job rejected. job={} queue={} tenant={} reason={} bytes={} limit={}",
+            formatJobId(call.job), call.queue, record.tenant, "the job takes too much memory", bytes,
+            dispatcher.jobMemory.limit);
+        answer(dispatcher,
+            {.call = call.call,
+                .outcome = ClientOutcome::Impossible,
+                .detail = "not accepted; the job has too many tasks or steps for the scheduler's memory"});
+    }
+    return true;
+}
+
 void submit(Dispatcher &dispatcher, const ClientCall &call, Now now)
 {
     if (const auto ended = dispatcher.jobs.ended.find(call.job); ended != dispatcher.jobs.ended.end()) {
@@ -203,6 +262,9 @@
     if (rejectImpossible(dispatcher, call, *record, now.monotonic)) {
         return;
     }
+    if (rejectForMemory(dispatcher, call, *record, now.monotonic)) {
+        return;
+    }
     if (const auto retryAfter = applySubmissionRate(dispatcher, *record, now.monotonic)) {
         if (!isClaimInForce(dispatcher, now.monotonic)) {
             answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Unknown});
@@ -215,6 +277,8 @@
     std::string text = record->isExcess ? encodeJobRecord(*record) : call.record;
     Job &job = addJob(dispatcher, std::move(*record), now);
     job.arrivedAt = now.monotonic;
+    job.recordSize = text.size();
+    updateCharge(dispatcher.jobMemory, dispatcher.tenants, job);
     job.waitingSubmits.push_back(call.call);
     Commit commit{.tag = {.kind = CommitKind::Accept, .job = call.job},
         .writes = {{.key = jobKey(call.job), .value = std::move(text)}},
@@ -290,15 +354,20 @@
 /// record is stored also proves that no other daemon has led and accepted the job: the streams' conditions hold.
 void withdraw(Dispatcher &dispatcher, const ClientCall &call, Now now)
 {
+    const TenantSlot tenant = addTenant(dispatcher.tenants, call.tenant);
     if (isStoreUnavailable(dispatcher, now.monotonic) || dispatcher.commits.waiting.size() > maxWaitingCommits) {
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Unknown});
         return;
     }
+    if (findRoom(dispatcher.jobMemory, dispatcher.tenants, tenant, endedJobBytes) != JobFit::Fits) {
+        ++dispatcher.counters.unansweredByMemory;
+        answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Unknown});
+        return;
+    }
     logLine(LogLevel::Info, logPart, "Cancellation of an unknown job. job={} queue={} token={}", formatJobId(call.job),
         call.queue, dispatcher.token);
     ++dispatcher.counters.jobsWithdrawn;
-    const TenantSlot tenant = addTenant(dispatcher.tenants, call.tenant);
-    dispatcher.jobs.ended.emplace(call.job, EndedJob{.state = JobState::Withdrawn, .tenant = tenant});
+    addEnded(dispatcher, call.job, {.state = JobState::Withdrawn, .tenant = tenant});
     dispatcher.withdrawals[call.job].push_back(call.call);
     enqueue(dispatcher.commits,
         {.tag = {.kind = CommitKind::Withdraw, .job = call.job},
@@ -360,6 +429,7 @@
 void handleAccepted(Dispatcher &dispatcher, Job &job, Now now)
 {
     job.accepted = true;
+    updateCharge(dispatcher.jobMemory, dispatcher.tenants, job);
     ++dispatcher.counters.accepted;
     observe(dispatcher, DurationKind::Acceptance, now.monotonic - job.arrivedAt);
     logLine(LogLevel::Info, logPart,
@@ -393,10 +463,10 @@
         reportEnd(dispatcher, call, job.record.id, job.state);
     }
     const JobId id = job.record.id;
-    dispatcher.jobs.ended[id] = {.state = job.state, .tenant = job.tenant};
+    addEnded(dispatcher, id, {.state = job.state, .tenant = job.tenant});
     dispatcher.jobs.endedOrder.emplace(now, id);
     dispatcher.unstoredJobs.erase(id);
-    dispatcher.jobs.live.erase(id);
+    removeJob(dispatcher, id);
 }
 
 void handleWithdrawn(Dispatcher &dispatcher, JobId id, MonotonicTime now)
@@ -422,7 +492,7 @@
 {
     if (tag.kind == CommitKind::Forget) {
         // Until now the id counts as used: a delayed removal must not delete the record of a later job.
-        dispatcher.jobs.ended.erase(tag.job);
+        forgetEnded(dispatcher, tag.job);
         return;
     }
     if (tag.kind == CommitKind::Retention) {
@@ -473,7 +543,7 @@
         for (const CallId call : job->waitingCancels) {
             answer(dispatcher, {.call = call, .outcome = ClientOutcome::Unknown});
         }
-        dispatcher.jobs.live.erase(id);
+        removeJob(dispatcher, id);
     }
 }
 
@@ -519,14 +589,27 @@
     }
 }
 
+/// Whether a further occurrence may be open beside the others of the job; one always may. Jobs that are overdue by many
+/// occurrences work them off in turn.
+bool hasOccurrenceRoom(const Dispatcher &dispatcher, const Job &job)
+{
+    if (job.occurrences.empty()) {
+        return true;
+    }
+    const JobSpec &spec = job.record.spec;
+    return (job.occurrences.size() + 1) * spec.steps.size() <= maxOpenSteps
+        && findRoom(dispatcher.jobMemory, dispatcher.tenants, job.tenant, occurrenceBytes(spec)) == JobFit::Fits;
+}
+
 void startOccurrences(Dispatcher &dispatcher, Now now)
 {
     for (auto &[id, job] : dispatcher.jobs.live) {
         const JobSpec &spec = job->record.spec;
         const std::uint32_t known = job->nextOccurrence;
         while (spec.repeatCount > job->nextOccurrence && !isEnded(job->state)
-            && spec.firstDue + spec.interval * job->nextOccurrence <= now.wall) {
+            && spec.firstDue + spec.interval * job->nextOccurrence <= now.wall && hasOccurrenceRoom(dispatcher, *job)) {
             addOccurrences(*job, job->nextOccurrence);
+            updateCharge(dispatcher.jobMemory, dispatcher.tenants, *job);
         }
         if (job->nextOccurrence == known) {
             continue;
@@ -616,6 +699,12 @@
     }
     const bool isKnown = dispatcher.jobs.live.contains(call.job) || dispatcher.jobs.ended.contains(call.job);
     if (!dispatcher.endsLoaded && !isKnown && call.kind != ClientCallKind::CountPending) {
+        if (dispatcher.deferredBytes + call.record.size() > dispatcher.jobMemory.limit / deferredShare) {
+            ++dispatcher.counters.unansweredByMemory;
+            answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Unknown});
+            return;
+        }
+        dispatcher.deferredBytes += call.record.size();
         dispatcher.deferredCalls.push_back(call);
         return;
     }
@@ -674,6 +763,7 @@
     }
     if (now.monotonic >= dispatcher.nextSupervision) {
         dispatcher.nextSupervision = now.monotonic + supervisionInterval;
+        updateReleaseRate(dispatcher.jobMemory, now.monotonic);
         superviseWorkers(dispatcher, now);
         finishRunDiscovery(dispatcher, now.monotonic);
         releaseStoppedRuns(dispatcher);
@@ -685,6 +775,7 @@
         dispatcher.placementDue = true;
     }
     if (dispatcher.endsLoaded && !dispatcher.deferredCalls.empty()) {
+        dispatcher.deferredBytes = 0;
         for (const ClientCall &call : std::exchange(dispatcher.deferredCalls, {})) {
             handleClientCall(dispatcher, call, now);
         }
@@ -712,13 +803,15 @@
     sendCommits(dispatcher.commits, *dispatcher.outbox, now.monotonic);
 }
 
-void inheritJob(Dispatcher &dispatcher, const JobRecord &record, std::string_view progress, Now now)
+void inheritJob(Dispatcher &dispatcher, JobRecord record, std::string_view progress, Now now)
 {
-    Job &job = addJob(dispatcher, record, now);
+    const JobId id = record.id;
+    Job &job = addJob(dispatcher, std::move(record), now);
     job.accepted = true;
     job.inherited = true;
     countInheritedSubmission(dispatcher, job, now.monotonic);
     if (progress.empty()) {
+        updateCharge(dispatcher.jobMemory, dispatcher.tenants, job);
         return;
     }
     job.progressStored = true;
@@ -726,9 +819,10 @@
     job.state = JobState::Running;
     std::string problem;
     if (!applyProgress(job, progress, problem)) {
-        logLine(LogLevel::Error, logPart, "A record of progress can't be read. job={} problem={}",
-            formatJobId(record.id), problem);
+        logLine(LogLevel::Error, logPart, "A record of progress can't be read. job={} problem={}", formatJobId(id),
+            problem);
     }
+    updateCharge(dispatcher.jobMemory, dispatcher.tenants, job);
     for (Occurrence &occurrence : job.occurrences) {
         for (StepRun &step : occurrence.steps) {
             for (Task &task : step.tasks) {
@@ -736,7 +830,7 @@
             }
         }
     }
-    dispatcher.unstoredJobs.insert(record.id);
+    dispatcher.unstoredJobs.insert(id);
 }
 
 void inheritEnd(
@@ -746,7 +840,7 @@
     if (record) {
         ended = {.state = record->state, .tenant = addTenant(dispatcher.tenants, record->tenant)};
     }
-    if (dispatcher.jobs.live.contains(id) || !dispatcher.jobs.ended.try_emplace(id, ended).second) {
+    if (dispatcher.jobs.live.contains(id) || !addEnded(dispatcher, id, ended)) {
         return;
     }
     dispatcher.jobs.endedOrder.emplace(provenSince(dispatcher.endRetention, revision, now), id);
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -4,6 +4,7 @@
 #include "core/dispatch/commit_streams.h"
 #include "core/dispatch/configuration.h"
 #include "core/dispatch/end_retention.h"
+#include "core/dispatch/job_memory.h"
 #include "core/dispatch/job_table.h"
 #include "core/dispatch/order_pace.h"
 #include "core/dispatch/outbox.h"
@@ -103,6 +104,9 @@
 {
     std::uint64_t accepted = 0;
     std::uint64_t rejected = 0;
+    /// Submissions that were rejected because jobs take too much memory, and calls without an answer for that reason.
+    std::uint64_t rejectedByMemory = 0;
+    std::uint64_t unansweredByMemory = 0;
     std::uint64_t jobsDone = 0;
     std::uint64_t jobsFailed = 0;
     std::uint64_t jobsCancelled = 0;
@@ -164,6 +168,7 @@
     std::uint64_t token;
     Configuration configuration;
     JobTable jobs;
+    JobMemory jobMemory;
     WorkerTable workers;
     TenantTable tenants;
     /// What former leaders were stopping of ended jobs, until no worker has a run of the job.
@@ -221,6 +226,8 @@
     std::multimap<MonotonicTime, WaitingQuery> waitingQueries;
     /// Calls that wait until the records of ended jobs are read.
     std::vector<ClientCall> deferredCalls;
+    /// Bytes of their records.
+    std::size_t deferredBytes = 0;
     DispatchCounters counters;
 };
 
@@ -250,7 +257,7 @@
 void handleClientCall(Dispatcher &dispatcher, const ClientCall &call, Now now);
 
 /// Add jobs, workers and ends of a former leader from the store. The runs are read from the workers' lists.
-void inheritJob(Dispatcher &dispatcher, const JobRecord &record, std::string_view progress, Now now);
+void inheritJob(Dispatcher &dispatcher, JobRecord record, std::string_view progress, Now now);
 void inheritWorkers(Dispatcher &dispatcher, std::span<const WorkerEntry> entries);
 /// `revision` is the store's revision at which the record was written. Without a record if it can't be read: its key
 /// still proves that the id was used.
--- a/core/dispatch/job_table.h
+++ b/core/dispatch/job_table.h
@@ -153,6 +153,10 @@
     bool progressStored = false;
     bool commitOpen = false;
     MonotonicTime commitAfter{};
+    /// Bytes of the encoded record that is being stored; unused once the job is accepted.
+    std::size_t recordSize = 0;
+    /// Bytes that the job is charged for in JobMemory.
+    std::size_t chargedBytes = 0;
 };
 
 inline bool isEnded(JobState state)
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -354,6 +354,7 @@
     node.workerPoll = {};
     Dispatcher &dispatcher = *node.dispatcher;
     dispatcher.bounds = node.options.bounds;
+    dispatcher.jobMemory.limit = node.options.jobMemoryBytes;
     setConfiguration(dispatcher, node.configuration);
     // Counted from the reply, which is certain to follow the execution of the claim.
     dispatcher.claimedAt = now;
@@ -762,21 +763,23 @@
 void startLeading(Node &node, Now now)
 {
     Leadership &leadership = node.leadership;
-    for (auto &[id, record] : leadership.loadedJobs) {
-        const auto progress = leadership.loadedProgress.find(id);
-        inheritJob(*node.dispatcher, record,
-            progress == leadership.loadedProgress.end() ? std::string_view() : std::string_view(progress->second), now);
+    const std::size_t inheritedJobs = leadership.loadedJobs.size();
+    // What was loaded is released job by job, so that it isn't in memory twice.
+    while (!leadership.loadedJobs.empty()) {
+        auto loaded = leadership.loadedJobs.extract(leadership.loadedJobs.begin());
+        const auto progress = leadership.loadedProgress.extract(loaded.key());
+        inheritJob(*node.dispatcher, std::move(loaded.mapped()),
+            progress.empty() ? std::string_view() : std::string_view(progress.mapped()), now);
     }
     logLine(LogLevel::Info, logPart,
         "Jobs and workers loaded; this daemon leads. token={} jobs={} workers={} takeover_ms={}",
-        leadership.leader.token, leadership.loadedJobs.size(), node.dispatcher->workers.workers.size(),
+        leadership.leader.token, inheritedJobs, node.dispatcher->workers.workers.size(),
         std::chrono::floor<milliseconds>(now.monotonic - leadership.leaseRequestedAt).count());
-    node.dispatcher->runDiscoveryFinished = leadership.loadedJobs.empty();
+    node.dispatcher->runDiscoveryFinished = inheritedJobs == 0;
     // Calls that were forwarded to the former leader. It may have executed them, so they are still never rejected.
     for (auto &[call, entry] : node.entries) {
         entry.sent = false;
     }
-    leadership.loadedJobs.clear();
     leadership.loadedProgress.clear();
     leadership.leadingSince = now.monotonic;
     setPhase(node, ClaimPhase::Leading, now.monotonic);
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -27,6 +27,8 @@
     /// Capacity of this VM's link; 0 if it is not known.
     double linkBytesPerSecond = 0;
     DispatchBounds bounds;
+    /// Memory that jobs may take while this daemon leads.
+    std::size_t jobMemoryBytes = JobMemory{}.limit;
     /// Time between the platform's termination signal and the moment it kills the process.
     milliseconds shutdownGrace{6000};
 };
--- a/core/dispatch/task_runs.cpp
+++ b/core/dispatch/task_runs.cpp
@@ -91,6 +91,7 @@
     if (job.record.spec.repeatCount > 0) {
         // Late lists then show its tasks as unknown runs. nextOccurrence ensures that the number is not used again.
         std::erase_if(job.occurrences, [&key](const Occurrence &each) { return each.number == key.occurrence; });
+        updateCharge(dispatcher.jobMemory, dispatcher.tenants, job);
     }
 }
 
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -350,6 +350,7 @@
     Job *job = findJob(dispatcher.jobs, key.step.job);
     if (job != nullptr && !isEnded(job->state) && key.step.occurrence < job->record.spec.repeatCount) {
         addOccurrences(*job, key.step.occurrence);
+        updateCharge(dispatcher.jobMemory, dispatcher.tenants, *job);
     }
 }
 
--- a/core/tenants/tenant_table.h
+++ b/core/tenants/tenant_table.h
@@ -42,6 +42,8 @@
     std::uint32_t waitingExcess = 0;
     /// The last pass of the placement held a step back because of the cap.
     bool isHeldByCap = false;
+    /// What the tenant's jobs take of the leader's memory, in bytes.
+    std::size_t jobBytes = 0;
     std::uint64_t rejectedExcess = 0;
     std::uint64_t rejectedByCap = 0;
 };
--- a/main/wigeonkeel_entry.cpp
+++ b/main/wigeonkeel_entry.cpp
@@ -21,6 +21,9 @@
 ABSL_FLAG(std::uint16_t, metrics_port, 9464, "port of the metrics page on this VM's address; 0 for none");
 ABSL_FLAG(
     std::string, advertise, "", "address at which other daemons reach this one, if it is not the one listened on");
+ABSL_FLAG(std::uint32_t, job_memory_mb, 0,
+    "MiB that jobs may take while the daemon leads, the same for all daemons; 0 for a quarter of the settings' "
+    "memoryMb");
 ABSL_FLAG(bool, check_settings, false, "check the settings, print what is wrong and exit");
 ABSL_FLAG(bool, version, false, "print the version and exit");
 
@@ -96,6 +99,9 @@
         }
         kernel.node.options.endpoint = *endpoint;
     }
+    if (const std::size_t jobMemory = absl::GetFlag(FLAGS_job_memory_mb); jobMemory > 0) {
+        kernel.node.options.jobMemoryBytes = jobMemory << 20;
+    }
     std::random_device entropy;
     kernel.node.random.value = (static_cast<std::uint64_t>(entropy()) << 32) | entropy();
     // Call ids of a former process must not match: daemons answer each other by them.
--- a/modules/cluster_metrics/cluster_metrics.cpp
+++ b/modules/cluster_metrics/cluster_metrics.cpp
@@ -33,8 +33,9 @@
     std::uint64_t DispatchCounters::*member;
 };
 
-constexpr std::array<CounterRow, 23> counterRows = {{{"accepted_jobs", &DispatchCounters::accepted},
-    {"refused_jobs", &DispatchCounters::rejected}, {"done_jobs", &DispatchCounters::jobsDone},
+constexpr std::array<CounterRow, 25> counterRows = {{{"accepted_jobs", &DispatchCounters::accepted},
+    {"refused_jobs", &DispatchCounters::rejected}, {"jobs_refused_by_memory", &DispatchCounters::rejectedByMemory},
+    {"calls_unanswered_by_memory", &DispatchCounters::unansweredByMemory}, {"done_jobs", &DispatchCounters::jobsDone},
     {"failed_jobs", &DispatchCounters::jobsFailed}, {"cancelled_jobs", &DispatchCounters::jobsCancelled},
     {"starts_ordered", &DispatchCounters::startsOrdered}, {"starts_unanswered", &DispatchCounters::startsUnanswered},
     {"starts_refused", &DispatchCounters::startsRefused}, {"runs_done", &DispatchCounters::runsDone},
@@ -91,6 +92,8 @@
     const auto gauge = [&families](const char *name, std::size_t value) {
         families.push_back(family(name, prometheus::MetricType::Gauge, static_cast<double>(value)));
     };
+    gauge("job_memory_bytes", dispatcher.jobMemory.used);
+    gauge("job_memory_limit_bytes", dispatcher.jobMemory.limit);
     gauge("live_jobs", dispatcher.jobs.live.size());
     gauge("ended_jobs_known", dispatcher.jobs.ended.size());
     gauge("workers_known", dispatcher.workers.workers.size());
--- a/tests/process/untrusted_clients.py
+++ b/tests/process/untrusted_clients.py
@@ -24,8 +24,8 @@
 SANITIZER_ENV = {"ASAN_OPTIONS": "quarantine_size_mb=1:malloc_context_size=4"}
 
 
-def get(path):
-    return f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+def get(path, host="x"):
+    return f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
 
 
 def post(path, body):
@@ -94,15 +94,17 @@
             pass
 
 
-def flood(watch, clients, chunk, take=0, total=FLOOD_BYTES, first=b""):
-    """Sends `first` and then `chunk` repeatedly on each connection; takes `take` bytes of the answers at a time."""
-    piece = chunk * max(1, (1 << 16) // len(chunk))
-    left = {client: [memoryview(first + piece), 0] for client in clients}
+def flood(watch, clients, chunk, take=0, total=FLOOD_BYTES, first=b"", limit=FLOOD_LIMIT_S):
+    """Sends `first` and then `chunk` repeatedly on each connection; takes `take` bytes of the answers at a time. `chunk`
+    may be a function that returns the next bytes."""
+    piece = b"" if callable(chunk) else chunk * max(1, (1 << 16) // len(chunk))
+    following = chunk if callable(chunk) else lambda: piece
+    left = {client: [memoryview(first + following()), 0] for client in clients}
     selector = selectors.DefaultSelector()
     for client in clients:
         selector.register(client, selectors.EVENT_WRITE | (selectors.EVENT_READ if take else 0))
     begun = progress = time.monotonic()
-    while left and time.monotonic() - progress < STALL_S and time.monotonic() - begun < FLOOD_LIMIT_S:
+    while left and time.monotonic() - progress < STALL_S and time.monotonic() - begun < limit:
         for key, events in selector.select(SAMPLE_S):
             client = key.fileobj
             try:
@@ -113,7 +115,7 @@
                     count = client.send(view)
                     progress = time.monotonic()
                     rest = view[count:]
-                    left[client] = [rest if len(rest) else memoryview(piece), sent + count]
+                    left[client] = [rest if len(rest) else memoryview(following()), sent + count]
                     if sent + count >= total:
                         raise ConnectionResetError
             except BlockingIOError:
@@ -214,15 +216,15 @@
             ("keep-alive frames", kept_alive), ("opened and abandoned", abandoned)]
 
 
-def answered(address, port, path, limit=30.0):
-    """Whether an ordinary client gets any answer. It asks again until the limit; the time itself is not judged."""
+def answered(address, port, path, limit=30.0, host="x", begins=b"HTTP/1."):
+    """Whether an ordinary client gets an answer that begins so; any by default. It asks again until the limit; the time itself is not judged."""
     end = time.monotonic() + limit
     while time.monotonic() < end:
         try:
             with socket.create_connection((address, port), timeout=5.0) as client:
                 client.settimeout(5.0)
-                client.sendall(get(path))
-                if client.recv(64).startswith(b"HTTP/1."):
+                client.sendall(get(path, host))
+                if client.recv(64).startswith(begins):
                     return True
         except OSError:
             pass
--- a/tests/soak/platform_standin.py
+++ b/tests/soak/platform_standin.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import base64
+import itertools
 import json
 import math
 import time
@@ -13,6 +14,7 @@
 
 MOST_TRANSACTION_ENTRIES = 32
 HISTORY = 2000
+PAGE_BYTES = 1 << 20
 SLOWEST_WORKER_CLOCK = 0.98
 CLAIM_KEY = "wk/ctl/leader"
 RACK_SIZE = 5
@@ -166,6 +168,8 @@
         if path == "/v1/kv-range":
             keys = sorted(key for key in self.items if key.startswith(query["prefix"]) and key > query.get("after", ""))
             page = keys[:100]
+            sizes = itertools.accumulate(len(self.items[key]["value"]) for key in page)
+            page = page[:max(1, sum(size <= PAGE_BYTES for size in sizes))]
             return 200, {"items": [self.items[key] for key in page], "morePages": len(keys) > len(page),
                          "currentRev": self.revision}
         if path == "/v1/kv-watch":
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -80,7 +80,7 @@
     def write_settings(self, seeds):
         listen = {name: f"{ADDRESS}:{self.ports[name]}" for name in ("frontend", "readiness", "control")}
         settings = {"nodeName": self.name, "listen": listen, "seeds": [f"{ADDRESS}:{port}" for port in seeds],
-                    "limits": {"cpuShare": 0.25 if self.name != "n0" else 0.5, "cores": 1},
+                    "limits": {"cpuShare": 0.25 if self.name != "n0" else 0.5, "cores": 1, **self.soak.limits},
                     "bounds": {"holdMaxMs": 6000, "stopMs": 900, "gangTimeoutMs": 3000, "status_s": 120,
                                "graceS": GRACE_S},
                     "advice": f"{ADDRESS}:{self.soak.adviser_port}",
@@ -169,6 +169,8 @@
         self.faults_ended = math.inf
         self.events = []
         self.daemons = []
+        # Further limits of the daemons' settings.
+        self.limits = {}
         # Those that were replaced are among these.
         self.all_daemons = []
         drawn = {"drawn": has_tenants(seed), "always": True, "never": False}[options.tenants]
