--- a/core/event_loop.cpp
+++ b/core/event_loop.cpp
@@ -1,5 +1,6 @@
 #include "core/event_loop.h"
 
+#include <csignal>
 #include <cstdlib>
 
 #include <event2/event.h>
@@ -28,6 +29,9 @@
         logLine(LogLevel::Error, "loop", "The event loop could not be made; no memory.");
         std::abort();
     }
+    // libevent writes to sockets without MSG_NOSIGNAL. With the signal ignored, a write to a connection that the peer
+    // has closed fails with EPIPE.
+    std::signal(SIGPIPE, SIG_IGN);
 }
 
 EventLoop::~EventLoop()
--- a/main/wigeonkeel_entry.cpp
+++ b/main/wigeonkeel_entry.cpp
@@ -140,7 +140,6 @@
         fmt::print("wigeonkeel_entry {}\n", WIGEONKEEL_VERSION);
         return exitOk;
     }
-    std::signal(SIGPIPE, SIG_IGN);
     const std::string given = absl::GetFlag(FLAGS_settings);
     const std::string path = given.empty() ? platform::settingsPath() : given;
     const auto text = readFile(path);
