--- a/drivers/http/connection_limit.cpp
+++ b/drivers/http/connection_limit.cpp
@@ -7,6 +7,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/listener.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 
 namespace wigeonkeel
@@ -20,11 +21,6 @@
 /// Longest time between two checks of the time limits; a fraction of the shortest default.
 constexpr milliseconds maxSweepInterval{1000};
 constexpr int sweepsPerTimeout = 4;
-/// A connection is not closed to make room for others before it did nothing for this long: a client that sends one
-/// request after the other needs its connection again at once.
-constexpr milliseconds minAgeToMakeRoom{1000};
-/// The share of all places that is freed in one sweep while accepting is paused.
-constexpr std::size_t placesPerSweep = 8;
 /// When the connections hold too much, they are closed until this share of the limit is free.
 constexpr std::size_t freedShare = 8;
 
@@ -54,6 +50,9 @@
     , m_relieveEvent(event_new(
           loop.base(), -1, 0,
           [](evutil_socket_t, short, void *self) { static_cast<ConnectionLimit *>(self)->relieve(); }, this))
+    , m_resumeEvent(event_new(
+          loop.base(), -1, 0,
+          [](evutil_socket_t, short, void *self) { static_cast<ConnectionLimit *>(self)->resume(); }, this))
     , m_sweepTimer(loop, [this] { sweep(); })
 {
     evhttp_set_bevcb(
@@ -63,6 +62,7 @@
 
 ConnectionLimit::~ConnectionLimit()
 {
+    event_free(m_resumeEvent);
     event_free(m_relieveEvent);
     event_free(m_trackEvent);
 }
@@ -133,6 +133,9 @@
     if (found != m_open.end()) {
         m_heldBytes -= found->second.held;
         m_open.erase(found);
+        if (m_paused) {
+            event_active(m_resumeEvent, 0, 0);
+        }
     }
 }
 
@@ -242,7 +245,7 @@
     std::vector<Candidate> candidates;
     for (const auto &[buffer, connection] : m_open) {
         const Phase phase = phaseOf(connection);
-        if (phase != Phase::Serving && now - phaseBegan(connection) >= minAgeToMakeRoom
+        if (phase != Phase::Serving && now - phaseBegan(connection) >= m_options.minAgeToMakeRoom
             && !mayHaveRequest(connection)) {
             candidates.push_back({.isIdle = phase == Phase::Idle, .number = connection.number, .buffer = buffer});
         }
@@ -250,7 +253,7 @@
     // Idle ones first, and of those the newest: clients that were here before the crowd keep theirs.
     std::ranges::sort(candidates,
         [](const Candidate &a, const Candidate &b) { return a.isIdle != b.isIdle ? a.isIdle : a.number > b.number; });
-    const std::size_t most = std::max<std::size_t>(1, m_options.maxConnections / placesPerSweep);
+    const std::size_t most = std::max<std::size_t>(1, m_options.maxConnections / m_options.freedPlacesShare);
     candidates.resize(std::min(candidates.size(), most));
     for (const Candidate &candidate : candidates) {
         close(candidate.buffer, HttpLimit::Connections);
@@ -290,6 +293,23 @@
     }
 }
 
+bool ConnectionLimit::isPlaceWanted() const
+{
+    if (!m_paused || m_socket == nullptr) {
+        return false;
+    }
+    pollfd listening{.fd = evhttp_bound_socket_get_fd(m_socket), .events = POLLIN, .revents = 0};
+    return poll(&listening, 1, 0) > 0;
+}
+
+void ConnectionLimit::resume()
+{
+    if (m_paused && m_socket != nullptr && m_open.size() + m_fresh.size() < m_options.maxConnections) {
+        m_paused = false;
+        evconnlistener_enable(evhttp_bound_socket_get_listener(m_socket));
+    }
+}
+
 void ConnectionLimit::sweep()
 {
     const MonotonicTime now = m_loop.now();
@@ -300,10 +320,7 @@
     if (m_paused && m_open.size() >= m_options.maxConnections) {
         makeRoom(now);
     }
-    if (m_paused && m_socket != nullptr && m_open.size() < m_options.maxConnections) {
-        m_paused = false;
-        evconnlistener_enable(evhttp_bound_socket_get_listener(m_socket));
-    }
+    resume();
     m_sweepTimer.startOnce(sweepInterval());
 }
 
--- a/drivers/http/connection_limit.h
+++ b/drivers/http/connection_limit.h
@@ -40,6 +40,11 @@
     milliseconds responseTimeout{10000};
     /// What the connections hold together, in bytes: requests that arrive or wait, and unwritten responses.
     std::size_t maxHeldBytes = std::size_t{64} << 20;
+    /// While others wait for a place, a connection is not closed for them before it did nothing for this long: a client
+    /// that sends one request after the other needs its connection again at once.
+    milliseconds minAgeToMakeRoom{1000};
+    /// At most one in so many places is freed at a time for connections that wait.
+    std::size_t freedPlacesShare = 8;
     /// Reading from a connection stops at this number of bytes that are not handled yet.
     std::size_t maxReadAhead = std::size_t{2} << 20;
     /// Called for each connection that is closed because of a limit.
@@ -69,6 +74,8 @@
     void forget(evhttp_connection *connection);
     /// A response waits to be written, or has been written.
     void updateOutput(evhttp_connection *connection);
+    /// All places are taken, and another connection waits for one.
+    bool isPlaceWanted() const;
     std::size_t open() const { return m_open.size(); }
     std::size_t heldBytes() const { return m_heldBytes; }
     bool isFull() const { return m_heldBytes > m_options.maxHeldBytes; }
@@ -105,6 +112,8 @@
 
     bufferevent *onConnection();
     void trackFresh();
+    /// Accepts connections again if there is a place.
+    void resume();
     void sweep();
     void closeOverdue(MonotonicTime now);
     void makeRoom(MonotonicTime now);
@@ -125,6 +134,7 @@
     std::vector<bufferevent *> m_fresh;
     event *m_trackEvent;
     event *m_relieveEvent;
+    event *m_resumeEvent;
     Timer m_sweepTimer;
     std::uint64_t m_nextNumber = 1;
     std::size_t m_heldBytes = 0;
--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -26,6 +26,8 @@
 constexpr std::string_view logPart = "http_server";
 /// At most one line about limits that were reached is logged in this time.
 constexpr milliseconds limitLogInterval{1000};
+/// Connections that wait in the kernel to be accepted.
+constexpr int acceptQueue = 1024;
 /// Beside the largest body and header: the line before a chunk, and the first bytes of a request that is sent ahead.
 constexpr std::size_t readAheadMargin = 16 << 10;
 /// Held for a waiting request beside its body: evhttp's structures, the path and the usual headers.
@@ -66,8 +68,27 @@
     return result;
 }
 
+/// A check has no body; bytes.
+constexpr std::size_t checkMaxBody = 4096;
+constexpr std::size_t checkMaxConnections = 64;
+/// Bytes; some tens of pages of metrics, and the largest request on each of the connections.
+constexpr std::size_t checkMaxHeld = std::size_t{2} << 20;
+constexpr milliseconds checkMinAge{100};
+
 } // namespace
 
+HttpServerOptions checkServerOptions(std::string_view address, std::uint16_t port)
+{
+    return {.address = std::string(address),
+        .port = port,
+        .maxBodyBytes = checkMaxBody,
+        .maxConnections = checkMaxConnections,
+        .minAgeToMakeRoom = checkMinAge,
+        .freedPlacesShare = 1,
+        .maxWaiting = checkMaxConnections,
+        .maxHeldBytes = checkMaxHeld};
+}
+
 HttpServer::HttpServer(EventLoop &loop, HttpServerOptions options)
     : m_loop(loop)
     , m_options(std::move(options))
@@ -78,6 +99,8 @@
               .requestTimeout = std::min(m_options.requestTimeout, m_options.readTimeout),
               .responseTimeout = m_options.responseTimeout,
               .maxHeldBytes = m_options.maxHeldBytes,
+              .minAgeToMakeRoom = m_options.minAgeToMakeRoom,
+              .freedPlacesShare = m_options.freedPlacesShare,
               .maxReadAhead = m_options.maxBodyBytes + m_options.maxHeaderBytes + readAheadMargin,
               .reached = [this](HttpLimit limit) { onLimit(limit); }})
     , m_dropTimer(loop, [this] { closeDropped(); })
@@ -105,6 +128,8 @@
         // Accepted sockets inherit it.
         setsockopt(evhttp_bound_socket_get_fd(m_socket), SOL_SOCKET, SO_RCVBUF, &m_options.receiveBufferBytes,
             sizeof(m_options.receiveBufferBytes));
+        // evhttp asks for a queue of 128. A client whose connection does not fit into it tries again after seconds.
+        ::listen(evhttp_bound_socket_get_fd(m_socket), acceptQueue);
         return {};
     }
     return {.code = Errc::Unavailable,
@@ -248,7 +273,11 @@
     if (!reply.authenticate.empty()) {
         evhttp_add_header(headers, "WWW-Authenticate", std::string(reply.authenticate).c_str());
     }
-    if (reply.closeConnection || m_socket == nullptr) {
+    const bool isPlaceWanted = m_limit.isPlaceWanted();
+    if (isPlaceWanted) {
+        onLimit(HttpLimit::Connections);
+    }
+    if (reply.closeConnection || m_socket == nullptr || isPlaceWanted) {
         evhttp_add_header(headers, "Connection", "close");
     }
     evbuffer *body = evhttp_request_get_output_buffer(request);
--- a/drivers/http/http_server.h
+++ b/drivers/http/http_server.h
@@ -56,8 +56,13 @@
     std::size_t maxHeaderBytes = 16 << 10;
     /// A connection that has not delivered a complete request for this long is closed, also if bytes still come.
     milliseconds readTimeout{30000};
-    /// At this number of open connections, further ones wait in the kernel until another is closed.
+    /// At this number of open connections, further ones wait in the kernel until another is closed. While one waits,
+    /// each response ends its connection: a client with many requests would otherwise keep its place for ever.
     std::size_t maxConnections = 10000;
+    /// A connection that does nothing may be closed for a waiting one after this time.
+    milliseconds minAgeToMakeRoom{1000};
+    /// At most one in so many places is freed at a time for waiting connections.
+    std::size_t freedPlacesShare = 8;
     std::size_t maxWaiting = 10000;
     /// A request must be complete this long after its first byte. `readTimeout` bounds it too.
     milliseconds requestTimeout{10000};
@@ -73,6 +78,11 @@
     std::function<void(HttpLimit)> limitReached;
 };
 
+/// Options of a server for checks of load balancers and for collectors of metrics: a few clients at a time, whose
+/// requests are one packet. A VM is out of rotation after two checks, a second apart, without an answer, so while
+/// others wait, all connections that have not sent a request at once lose their places.
+HttpServerOptions checkServerOptions(std::string_view address, std::uint16_t port);
+
 /// HTTP server over evhttp on the given loop.
 class HttpServer
 {
--- a/modules/cluster_metrics/cluster_metrics.cpp
+++ b/modules/cluster_metrics/cluster_metrics.cpp
@@ -21,12 +21,6 @@
     = {0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 3.0, 5.0, 10.0, 20.0, 40.0};
 const prometheus::Histogram::BucketBoundaries turnBounds = {0.0001, 0.0003, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3};
 
-/// Collectors send no bodies, and a few of them read the page at a time.
-constexpr std::size_t metricsMaxBody = 4096;
-constexpr std::size_t metricsMaxConnections = 32;
-/// Bytes; some tens of pages.
-constexpr std::size_t metricsMaxHeld = std::size_t{2} << 20;
-
 struct CounterRow
 {
     const char *name;
@@ -140,14 +134,9 @@
     if (kernel.metrics.port == 0) {
         return;
     }
-    server = std::make_unique<HttpServer>(kernel.loop,
-        HttpServerOptions{.address = kernel.metrics.ip,
-            .port = kernel.metrics.port,
-            .maxBodyBytes = metricsMaxBody,
-            .maxConnections = metricsMaxConnections,
-            .maxWaiting = metricsMaxConnections,
-            .maxHeldBytes = metricsMaxHeld,
-            .limitReached = limitCounter(kernel.metricsRegistry, "metrics")});
+    HttpServerOptions options = checkServerOptions(kernel.metrics.ip, kernel.metrics.port);
+    options.limitReached = limitCounter(kernel.metricsRegistry, "metrics");
+    server = std::make_unique<HttpServer>(kernel.loop, std::move(options));
     server->route("/metrics", [this](const HttpRequest &request) {
         const std::string text = metricsText(*this);
         server->reply(request.token, {.contentType = "text/plain; version=0.0.4", .body = text});
--- a/modules/metrics_http/register_types.cpp
+++ b/modules/metrics_http/register_types.cpp
@@ -16,25 +16,20 @@
 constexpr std::string_view logPart = "metrics_http";
 constexpr int statusServiceUnavailable = 503;
 
-/// Collectors and health checks send no bodies, and a few of them come at a time.
-constexpr std::size_t maxBody = 4096;
-constexpr std::size_t maxConnections = 64;
-/// Bytes; some tens of pages.
-constexpr std::size_t maxHeld = std::size_t{4} << 20;
+HttpServerOptions pageOptions(const Kernel &kernel)
+{
+    HttpServerOptions options = checkServerOptions(kernel.settings.text("metrics_http.address"),
+        static_cast<std::uint16_t>(kernel.settings.integer("metrics_http.port")));
+    options.limitReached = limitCounter(kernel.metrics, "metrics");
+    return options;
+}
 
 /// Serves /metrics, /healthz and /readyz.
 struct MetricsPage
 {
     MetricsPage(Kernel &owner)
         : kernel(owner)
-        , server(owner.loop,
-              {.address = std::string(owner.settings.text("metrics_http.address")),
-                  .port = static_cast<std::uint16_t>(owner.settings.integer("metrics_http.port")),
-                  .maxBodyBytes = maxBody,
-                  .maxConnections = maxConnections,
-                  .maxWaiting = maxConnections,
-                  .maxHeldBytes = maxHeld,
-                  .limitReached = limitCounter(owner.metrics, "metrics")})
+        , server(owner.loop, pageOptions(owner))
     {
         observed = kernel.signals.observed.connect(
             [this](const ObserveAction &observation) { observe(histograms, observation); });
--- a/tests/drivers/http/http_server_test.cpp
+++ b/tests/drivers/http/http_server_test.cpp
@@ -160,24 +160,62 @@
 TEST(HttpServer, ConnectionsAreBounded)
 {
     std::vector<std::unique_ptr<RawSocket>> clients;
-    const auto countAnswered = [&clients] {
-        std::size_t count = 0;
-        for (const auto &client : clients) {
-            count += client->received().find("200") != std::string::npos ? 1 : 0;
-        }
-        return count;
-    };
     for (int i = 0; i < 8; ++i) {
         clients.push_back(connect());
-        clients.back()->send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+        clients.back()->send("GET /keep HTTP/1.1\r\nHost: x\r\n\r\n");
     }
-    CHECK_TRUE(eventually([&] { return countAnswered() >= 4; }));
+    CHECK_TRUE(eventually([&] { return paths.size() >= 4; }));
     runFor(loop, milliseconds(200));
-    CHECK_EQUAL(4, countAnswered());
+    CHECK_EQUAL(4, paths.size());
     for (int i = 0; i < 4; ++i) {
         clients[static_cast<std::size_t>(i)]->close();
     }
-    CHECK_TRUE(eventually([&] { return countAnswered() == 8; }));
+    CHECK_TRUE(eventually([&] { return paths.size() == 8; }));
+}
+
+// Guards against clients that keep their places for ever by sending request after request: at the readiness address
+// they took all of them, and the load balancer's checks got no answer.
+TEST(HttpServer, AClientWithManyRequestsGivesItsPlaceToOneThatWaits)
+{
+    std::string requests;
+    for (int i = 0; i < 100; ++i) {
+        requests += "GET /busy HTTP/1.1\r\nHost: x\r\n\r\n";
+    }
+    std::vector<std::unique_ptr<RawSocket>> busy;
+    const auto keepBusy = [&] {
+        for (auto &client : busy) {
+            if (client->ended()) {
+                client = connect();
+            }
+            client->send(requests);
+        }
+    };
+    for (int i = 0; i < 12; ++i) {
+        busy.push_back(connect());
+    }
+    keepBusy();
+    const auto late = connect();
+    late->send("GET /late HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK_TRUE(eventually([&] {
+        keepBusy();
+        return late->received().find("/late") != std::string::npos;
+    }));
+}
+
+// Guards against connections that are ended by each response although nobody waits for their places.
+TEST(HttpServer, ConnectionsAreKeptWhileNobodyWaits)
+{
+    std::vector<std::unique_ptr<RawSocket>> clients;
+    for (int i = 0; i < 4; ++i) {
+        clients.push_back(connect());
+    }
+    for (int round = 0; round < 3; ++round) {
+        for (auto &client : clients) {
+            const std::string path = "/round" + std::to_string(round);
+            client->send("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
+            CHECK_TRUE(answered(*client, path));
+        }
+    }
 }
 
 // Guards against answers that are given to the wrong one of several requests.
--- a/tests/process/untrusted_clients.py
+++ b/tests/process/untrusted_clients.py
@@ -5,6 +5,7 @@
 import selectors
 import socket
 import struct
+import threading
 import time
 
 CROWD = 8
@@ -16,6 +17,9 @@
 # Ends a pattern on a machine where the process takes the flood slowly; bounds the duration of the test.
 FLOOD_LIMIT_S = 4.0
 ABANDONED = 500
+# More than the places of any address of the tests.
+STAYING = 160
+ASKS_BESIDE = 3
 # Largest frame between daemons, and so many of them that together they exceed the memory bound of the tests.
 MAX_FRAME = 1 << 20
 FRAME_CROWD = 160
@@ -127,6 +131,34 @@
     selector.close()
 
 
+def stay(watch, address, port, first, stop):
+    """Keeps STAYING connections that send `first` again and again and read all that comes, until the event is set. One that
+    is closed is opened again."""
+    selector = selectors.DefaultSelector()
+    piece = first * max(1, 4096 // len(first))
+    while not stop.is_set():
+        while len(selector.get_map()) < STAYING:
+            client = socket.socket()
+            client.setblocking(False)
+            client.connect_ex((address, port))
+            selector.register(client, selectors.EVENT_READ | selectors.EVENT_WRITE)
+        for key, events in selector.select(SAMPLE_S):
+            client = key.fileobj
+            try:
+                if events & selectors.EVENT_READ and not client.recv(65536):
+                    raise ConnectionResetError
+                if events & selectors.EVENT_WRITE:
+                    client.send(piece)
+            except BlockingIOError:
+                continue
+            except OSError:
+                selector.unregister(client)
+                client.close()
+        watch.sample()
+    close([key.fileobj for key in selector.get_map().values()])
+    selector.close()
+
+
 def drip(watch, clients, data, rounds=100):
     """One byte at a time."""
     for index in range(rounds):
@@ -160,6 +192,20 @@
         drip(watch, clients, get(paths[0])[:-2] + b"X-Long: 1\r\n" * 100)
         close(clients)
 
+    def staying(chunk):
+        def run(watch, address, port):
+            stop = threading.Event()
+            thread = threading.Thread(target=stay, args=(watch, address, port, chunk, stop))
+            thread.start()
+            try:
+                # Ends with the first call without an answer, which takes long to find out.
+                asks = [watch.ask, watch.ask_address] * ASKS_BESIDE
+                any(time.sleep(0.5) or not ask() for ask in asks)
+            finally:
+                stop.set()
+                thread.join()
+        return run
+
     def abandoned(watch, address, port):
         clients = crowd(address, port, ABANDONED)
         for _ in range(20):
@@ -186,6 +232,9 @@
         ("one chunk without an end", flooded(b"x" * 1024, first=chunked + b"3ffff\r\n")),
         ("reset midway", sent_once(get(paths[0]) * 2000 + post(paths[0], big)[:100000], reset=True)),
         ("opened and abandoned", abandoned),
+        ("requests that never end", staying(get(paths[0]))),
+        ("requests without a route that never end", staying(get("/no/such/path"))),
+        ("requests in pieces that never end", staying(get(paths[0])[:-2] + b"X-Long: 1\r\n")),
     ]
     return patterns
 
@@ -248,8 +297,15 @@
     problems = []
     for name, play in patterns:
         watch = Watch(pid, [port])
-        watch.ask = lambda: problems.append(f"{name}: no answer beside the crowd") \
-            if not answered(address, ask_port, ask_path) else None
+
+        def ask_at(to_port, path, name=name):
+            is_answered = answered(address, to_port, path)
+            if not is_answered:
+                problems.append(f"{name}: no answer of {path} beside the crowd")
+            return is_answered
+
+        watch.ask = lambda: ask_at(ask_port, ask_path)
+        watch.ask_address = lambda: ask_at(port, "/")
         play(watch, address, port)
         watch.sample()
         peak = watch.peak()
