--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -88,11 +88,13 @@
     answer(dispatcher, {.call = unknown.call, .outcome = exists ? ClientOutcome::Unknown : ClientOutcome::NoSuchJob});
 }
 
-void rejectJob(Dispatcher &dispatcher, const ClientCall &call, milliseconds retryAfter, std::string_view reason)
+void rejectJob(
+    Dispatcher &dispatcher, const ClientCall &call, milliseconds retryAfter, std::string_view reason, MonotonicTime now)
 {
     ++dispatcher.counters.rejected;
-    logLine(LogLevel::Info, logPart, "Job rejected. job={} queue={} tenant={} reason={} retry_after_ms={}",
-        formatJobId(call.job), call.queue, call.tenant, reason, retryAfter.count());
+    logCall(dispatcher.callLog, CallLine::Rejected, now, logPart,
+        "Job rejected. job={} queue={} tenant={} reason={} retry_after_ms={}", formatJobId(call.job), call.queue,
+        call.tenant, reason, retryAfter.count());
     answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Refused, .retryAfter = retryAfter});
 }
 
@@ -162,9 +164,10 @@
     }
 }
 
-void logRepeatedSubmission(JobId id, std::string_view state)
+void logRepeatedSubmission(Dispatcher &dispatcher, JobId id, std::string_view state, MonotonicTime now)
 {
-    logLine(LogLevel::Info, logPart, "Submission of a known job. job={} state={}", formatJobId(id), state);
+    logCall(dispatcher.callLog, CallLine::RepeatedSubmission, now, logPart,
+        "Submission of a known job. job={} state={}", formatJobId(id), state);
 }
 
 /// Whether no other daemon can lead yet. Otherwise a job that this leader doesn't know may have been accepted
@@ -188,8 +191,8 @@
     }
     tenant.rejectedByCap += detail.empty() ? 0 : 1;
     ++dispatcher.counters.rejected;
-    logLine(LogLevel::Info, logPart, "Job rejected. job={} queue={} tenant={} reason={}", formatJobId(call.job),
-        call.queue, record.tenant, detail.empty() ? "no worker is large enough" : detail);
+    logCall(dispatcher.callLog, CallLine::Rejected, now, logPart, "Job rejected. job={} queue={} tenant={} reason={}",
+        formatJobId(call.job), call.queue, record.tenant, detail.empty() ? "no worker is large enough" : detail);
     answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Impossible, .detail = std::move(detail)});
     return true;
 }
@@ -208,12 +211,12 @@
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Unknown});
     } else if (fit == JobFit::Full) {
         rejectJob(dispatcher, call, retryAfterRelease(dispatcher.jobMemory, dispatcher.tenants, tenant, bytes),
-            "jobs take too much memory");
+            "jobs take too much memory", now);
     } else {
         ++dispatcher.counters.rejected;
-        logLine(LogLevel::Info, logPart, "Job rejected. job={} queue={} tenant={} reason={} bytes={} limit={}",
-            formatJobId(call.job), call.queue, record.tenant, "the job takes too much memory", bytes,
-            dispatcher.jobMemory.limit);
+        logCall(dispatcher.callLog, CallLine::Rejected, now, logPart,
+            "Job rejected. job={} queue={} tenant={} reason={} bytes={} limit={}", formatJobId(call.job), call.queue,
+            record.tenant, "the job takes too much memory", bytes, dispatcher.jobMemory.limit);
         answer(dispatcher,
             {.call = call.call,
                 .outcome = ClientOutcome::Impossible,
@@ -226,16 +229,19 @@
 {
     if (const auto ended = dispatcher.jobs.ended.find(call.job); ended != dispatcher.jobs.ended.end()) {
         if (ended->second.state == JobState::Withdrawn) {
-            rejectJob(dispatcher, call, dispatcher.endRetention.kept, "cancelled before it was submitted");
+            rejectJob(
+                dispatcher, call, dispatcher.endRetention.kept, "cancelled before it was submitted", now.monotonic);
             return;
         }
-        logRepeatedSubmission(call.job, ended->second.state ? stateName(*ended->second.state) : "unreadable");
+        logRepeatedSubmission(
+            dispatcher, call.job, ended->second.state ? stateName(*ended->second.state) : "unreadable", now.monotonic);
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok});
         return;
     }
     Job *known = findJob(dispatcher.jobs, call.job);
     if (known != nullptr && known->accepted) {
-        logRepeatedSubmission(call.job, isEnded(known->state) ? stateName(known->state) : "live");
+        logRepeatedSubmission(
+            dispatcher, call.job, isEnded(known->state) ? stateName(known->state) : "live", now.monotonic);
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Ok});
         return;
     }
@@ -252,11 +258,11 @@
         return;
     }
     if (isStoreUnavailable(dispatcher, now.monotonic)) {
-        rejectJob(dispatcher, call, outageRetryAfter, "store unavailable");
+        rejectJob(dispatcher, call, outageRetryAfter, "store unavailable", now.monotonic);
         return;
     }
     if (dispatcher.commits.waiting.size() > maxWaitingCommits) {
-        rejectJob(dispatcher, call, overloadRetryAfter, "store overloaded");
+        rejectJob(dispatcher, call, overloadRetryAfter, "store overloaded", now.monotonic);
         return;
     }
     if (rejectImpossible(dispatcher, call, *record, now.monotonic)) {
@@ -270,7 +276,7 @@
             answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Unknown});
             return;
         }
-        rejectJob(dispatcher, call, *retryAfter, "tenant above its rate while the pool is full");
+        rejectJob(dispatcher, call, *retryAfter, "tenant above its rate while the pool is full", now.monotonic);
         return;
     }
     // The record says whether the job is within the tenant's rate, so that a new leader goes by the same decision.
@@ -295,9 +301,10 @@
     return job.started || isEnded(job.state) ? JobState::Running : JobState::Queued;
 }
 
-void reportEnd(Dispatcher &dispatcher, CallId call, JobId id, JobState state)
+void reportEnd(Dispatcher &dispatcher, CallId call, JobId id, JobState state, MonotonicTime now)
 {
-    logLine(LogLevel::Info, logPart, "End reported to a client. job={} state={}", formatJobId(id), stateName(state));
+    logCall(dispatcher.callLog, CallLine::EndReported, now, logPart, "End reported to a client. job={} state={}",
+        formatJobId(id), stateName(state));
     answer(dispatcher, {.call = call, .outcome = ClientOutcome::Ok, .state = state});
 }
 
@@ -330,7 +337,7 @@
         if (ended->second.state == JobState::Withdrawn) {
             answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::NoSuchJob});
         } else if (ended->second.state) {
-            reportEnd(dispatcher, call.call, call.job, *ended->second.state);
+            reportEnd(dispatcher, call.call, call.job, *ended->second.state, now);
         } else {
             answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Unknown});
         }
@@ -364,8 +371,9 @@
         answer(dispatcher, {.call = call.call, .outcome = ClientOutcome::Unknown});
         return;
     }
-    logLine(LogLevel::Info, logPart, "Cancellation of an unknown job. job={} queue={} token={}", formatJobId(call.job),
-        call.queue, dispatcher.token);
+    logCall(dispatcher.callLog, CallLine::Withdrawn, now.monotonic, logPart,
+        "Cancellation of an unknown job. job={} queue={} token={}", formatJobId(call.job), call.queue,
+        dispatcher.token);
     ++dispatcher.counters.jobsWithdrawn;
     addEnded(dispatcher, call.job, {.state = JobState::Withdrawn, .tenant = tenant});
     dispatcher.withdrawals[call.job].push_back(call.call);
@@ -394,8 +402,9 @@
         withdraw(dispatcher, call, now);
         return;
     }
-    logLine(LogLevel::Info, logPart, "Cancellation requested. job={} queue={} accepted={}", formatJobId(call.job),
-        job->record.queue.name, job->accepted);
+    logCall(dispatcher.callLog, CallLine::CancelRequested, now.monotonic, logPart,
+        "Cancellation requested. job={} queue={} accepted={}", formatJobId(call.job), job->record.queue.name,
+        job->accepted);
     job->waitingCancels.push_back(call.call);
     if (job->accepted) {
         endJob(dispatcher, *job, JobState::Cancelled, now);
@@ -460,7 +469,7 @@
         answer(dispatcher, {.call = call, .outcome = ClientOutcome::Ok});
     }
     for (const CallId call : job.waitingQueries) {
-        reportEnd(dispatcher, call, job.record.id, job.state);
+        reportEnd(dispatcher, call, job.record.id, job.state, now);
     }
     const JobId id = job.record.id;
     addEnded(dispatcher, id, {.state = job.state, .tenant = job.tenant});
@@ -537,7 +546,7 @@
         for (const CallId call : job->waitingSubmits) {
             rejectJob(dispatcher,
                 {.call = call, .kind = ClientCallKind::Submit, .queue = job->record.queue.name, .job = id},
-                outageRetryAfter, "store unavailable");
+                outageRetryAfter, "store unavailable", now);
         }
         // Without a record of the cancellation, another copy of the submission could still be accepted.
         for (const CallId call : job->waitingCancels) {
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/dispatch/advice_lines.h"
+#include "core/dispatch/call_log.h"
 #include "core/dispatch/commit_streams.h"
 #include "core/dispatch/configuration.h"
 #include "core/dispatch/end_retention.h"
@@ -169,6 +170,7 @@
     Configuration configuration;
     JobTable jobs;
     JobMemory jobMemory;
+    CallLog callLog;
     WorkerTable workers;
     TenantTable tenants;
     /// What former leaders were stopping of ended jobs, until no worker has a run of the job.
--- a/core/dispatch/leadership.cpp
+++ b/core/dispatch/leadership.cpp
@@ -355,6 +355,7 @@
     Dispatcher &dispatcher = *node.dispatcher;
     dispatcher.bounds = node.options.bounds;
     dispatcher.jobMemory.limit = node.options.jobMemoryBytes;
+    dispatcher.callLog.rate = node.callLog.rate;
     setConfiguration(dispatcher, node.configuration);
     // Counted from the reply, which is certain to follow the execution of the claim.
     dispatcher.claimedAt = now;
--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -136,8 +136,9 @@
         }
     }
     for (const ClientAnswer &answer : expired) {
-        logLine(LogLevel::Info, logPart, "Call answered without a leader's answer. call={} outcome={} leader={} job={}",
-            answer.call, answer.outcome == ClientOutcome::Refused ? "refused" : "unknown", node.leadership.leader.node,
+        logCall(node.callLog, CallLine::Unanswered, now.monotonic, logPart,
+            "Call answered without a leader's answer. call={} outcome={} leader={} job={}", answer.call,
+            answer.outcome == ClientOutcome::Refused ? "refused" : "unknown", node.leadership.leader.node,
             formatJobId(node.entries.at(answer.call).call.job));
         finishEntry(node, answer.call, answer);
     }
@@ -409,11 +410,12 @@
 
 /// A former leader's answer is ignored unless it is Ok: the call was also sent to its successor, which may have
 /// accepted it.
-void handleForwardedAnswer(Node &node, std::string_view from, const ClientAnswer &answer)
+void handleForwardedAnswer(Node &node, std::string_view from, const ClientAnswer &answer, MonotonicTime now)
 {
     if (from != node.leadership.leader.node && answer.outcome != ClientOutcome::Ok) {
-        logLine(LogLevel::Info, logPart, "A former leader's answer is ignored. call={} node={} leader={}", answer.call,
-            from, node.leadership.leader.node);
+        logCall(node.callLog, CallLine::LateAnswer, now, logPart,
+            "A former leader's answer is ignored. call={} node={} leader={}", answer.call, from,
+            node.leadership.leader.node);
         return;
     }
     finishEntry(node, answer.call, answer);
@@ -547,7 +549,7 @@
     } else if (const auto *forwarded = std::get_if<ForwardedCall>(&body)) {
         handleForwardedCall(node, from, *forwarded, now);
     } else if (const auto *answered = std::get_if<ForwardedAnswer>(&body)) {
-        handleForwardedAnswer(node, from, answered->answer);
+        handleForwardedAnswer(node, from, answered->answer, now.monotonic);
     } else if (const auto *order = std::get_if<AdviceOrder>(&body)) {
         handleAdviceOrder(node, from, *order);
     } else if (const auto *result = std::get_if<AdviceResult>(&body)) {
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/dispatch/call_log.h"
 #include "core/dispatch/dispatcher.h"
 #include "core/dispatch/outbox.h"
 #include "core/routing/random.h"
@@ -229,6 +230,7 @@
     std::unique_ptr<Dispatcher> dispatcher;
     absl::flat_hash_map<CallId, StorePurpose> storeCalls;
     std::map<CallId, EntryCall> entries;
+    CallLog callLog;
     absl::flat_hash_map<CallId, CallOrigin> forwarded;
     /// Advice requests that this daemon makes on behalf of the leader.
     absl::flat_hash_map<CallId, CallOrigin> adviceOrders;
--- a/core/event_loop.h
+++ b/core/event_loop.h
@@ -15,8 +15,8 @@
 class EventLoop
 {
 public:
-    /// What runs on the loop reads the time from this clock; timers follow the system's monotonic clock. From now on the
-    /// process ignores SIGPIPE.
+    /// What runs on the loop reads the time from this clock; timers follow the system's monotonic clock. From now on
+    /// the process ignores SIGPIPE.
     explicit EventLoop(const Clock &clock);
     ~EventLoop();
     EventLoop(const EventLoop &) = delete;
--- a/main/wigeonkeel_entry.cpp
+++ b/main/wigeonkeel_entry.cpp
@@ -9,6 +9,7 @@
 #include "platform/register_platform.h"
 #include "platform/wire.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <random>
@@ -24,6 +25,10 @@
 ABSL_FLAG(std::uint32_t, job_memory_mb, 0,
     "MiB that jobs may take while the daemon leads, the same for all daemons; 0 for a quarter of the settings' "
     "memoryMb");
+ABSL_FLAG(std::uint32_t, call_log_per_second, 100,
+    "lines a second that clients' calls may cause, for each kind of line; more are counted and left out, so that "
+    "clients "
+    "can't fill the disk of the log");
 ABSL_FLAG(bool, check_settings, false, "check the settings, print what is wrong and exit");
 ABSL_FLAG(bool, version, false, "print the version and exit");
 
@@ -102,6 +107,8 @@
     if (const std::size_t jobMemory = absl::GetFlag(FLAGS_job_memory_mb); jobMemory > 0) {
         kernel.node.options.jobMemoryBytes = jobMemory << 20;
     }
+    kernel.node.callLog.rate.interval
+        = MonotonicTime::duration(std::chrono::seconds(1)) / std::max(absl::GetFlag(FLAGS_call_log_per_second), 1U);
     std::random_device entropy;
     kernel.node.random.value = (static_cast<std::uint64_t>(entropy()) << 32) | entropy();
     // Call ids of a former process must not match: daemons answer each other by them.
--- a/modules/cluster_link/cluster_links.cpp
+++ b/modules/cluster_link/cluster_links.cpp
@@ -27,7 +27,7 @@
 /// daemons, which may all connect to a new leader at the same time.
 constexpr std::size_t maxUnidentified = 64;
 /// At most one end of a connection without a name is logged in this time.
-constexpr milliseconds endLogInterval{1000};
+constexpr LogRate endLogRate{.interval = milliseconds(1000)};
 
 bool isUnidentified(const ClusterConnection &connection)
 {
@@ -37,9 +37,8 @@
 /// Whoever reaches the port may open and close connections, so that ends of those without a name are mostly counted.
 void logEnd(ClusterLinks &links, const ClusterConnection &connection, std::string_view reason)
 {
-    const auto unlogged = isUnidentified(connection)
-        ? takeLogLine(links.endLog, links.kernel.clock.now(), endLogInterval)
-        : std::exchange(links.endLog.suppressed, 0);
+    const auto unlogged = isUnidentified(connection) ? takeLogLine(links.endLog, endLogRate, links.kernel.clock.now())
+                                                     : std::exchange(links.endLog.suppressed, 0);
     if (unlogged) {
         logLine(LogLevel::Info, logPart, "Connection closed. node={} reason={} unlogged_before={}", connection.node,
             reason, *unlogged);
--- a/modules/cluster_metrics/cluster_metrics.cpp
+++ b/modules/cluster_metrics/cluster_metrics.cpp
@@ -163,6 +163,10 @@
     gauge("client_calls_open", static_cast<double>(node.entries.size()));
     families.push_back(
         family("unexpected_errors_total", prometheus::MetricType::Counter, static_cast<double>(unexpectedErrors())));
+    const std::uint64_t suppressed
+        = node.callLog.suppressed + (node.dispatcher ? node.dispatcher->callLog.suppressed : 0);
+    families.push_back(
+        family("call_lines_unlogged_total", prometheus::MetricType::Counter, static_cast<double>(suppressed)));
     if (node.dispatcher) {
         addLeaderMetrics(*node.dispatcher, families);
         std::ranges::move(tenantMetrics(*node.dispatcher), std::back_inserter(families));
--- a/tests/process/untrusted_jobs_test.py
+++ b/tests/process/untrusted_jobs_test.py
@@ -25,6 +25,8 @@
 DAEMONS, WORKERS, ORDINARY_CLIENTS = 3, 2, 2
 CROWD = 24
 FLOOD_S = 5.0
+# Lines of calls that no accepted job stands behind; a flood of them writes several times as much without a limit.
+LOG_BYTES = 1 << 20
 TAKEOVER_LIMIT_S = 30.0
 STEP = {"count": 1, "cpu": 200, "memMb": 100, "estimateMs": 100}
 SPEC = json.dumps({"cpu": 200, "ms": 100, "fails": False, "gangs": [0] * 250})
@@ -43,23 +45,37 @@
     ("250 steps of 10,000 tasks", "POST", job([{**STEP, "count": 10000}] * 250)),
     ("steps with long names", "POST", job([{**STEP, "image": "x" * 800}] * 250)),
     ("20,000 overdue occurrences", "POST", job([STEP], repeatCount=20000, firstMs=1000, intervalMs=60000)),
+]
+# Calls after which no job, or one, is accepted.
+SHAPES_WITHOUT_JOBS = [
+    ("submissions without steps", "POST", job([])),
+    ("submissions with too long a spec", "POST", {**job([STEP]), "spec": "x" * 5000}),
+    ("submissions of one job", "POST", job([STEP])),
+    ("queries of one job", "GET", None),
     ("cancels of unknown jobs", "DELETE", None),
+    ("cancels of one unknown job", "DELETE", None),
 ]
 
 
-def calls(method, body):
-    """Returns a function of the next call; the calls name different jobs."""
+def call(method, number, body=None):
     text = b"" if body is None else json.dumps(body).encode()
-    numbers = itertools.count(1)
-    return lambda: (f"{method} /batch/{next(numbers):016x} HTTP/1.1\r\nHost: {HOST}\r\n"
-                    f"Content-Length: {len(text)}\r\n\r\n").encode() + text
+    return (f"{method} /batch/{number:016x} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"Content-Length: {len(text)}\r\n\r\n").encode() + text
+
 
+def calls(name, method, body):
+    """Returns a function of the next call."""
+    numbers = itertools.repeat(1) if " of one " in name else itertools.count(1)
+    return lambda: call(method, next(numbers), body)
 
-def flood_all(watches, daemons, method, body):
+
+def flood_all(watches, daemons, shape):
     clients = [client for index in range(CROWD)
                for client in crowd(ADDRESS, daemons[index % len(daemons)].ports["frontend"], 1)]
     watch = argparse.Namespace(sample=lambda: [each.sample() for each in watches])
-    flood(watch, clients, calls(method, body), limit=FLOOD_S)
+    # Queries have a job to find.
+    first = call("POST", 1, job([STEP])) if shape[1] == "GET" else b""
+    flood(watch, clients, calls(*shape), first=first, limit=FLOOD_S)
     close(clients)
 
 
@@ -77,6 +93,17 @@
     return problems
 
 
+def log_problems(soak, sizes, name):
+    """`sizes`: of the logs before the crowd came."""
+    problems = []
+    for daemon, before in sizes.items():
+        written = soak.log_of(daemon).stat().st_size - before
+        print(f"  {name}: {daemon.key} {written >> 10} KiB of log", flush=True)
+        if written > LOG_BYTES:
+            problems.append(f"{name}: {daemon.key} {written >> 10} KiB of log, at most {LOG_BYTES >> 10} are allowed")
+    return problems
+
+
 async def ask(daemons, name):
     """An ordinary client gets the leader's answer through each daemon. A new leader has read all records by then."""
     problems = []
@@ -89,7 +116,7 @@
 
 
 async def play(build, folder, shape):
-    name, method, body = shape
+    name = shape[0]
     options = argparse.Namespace(build=build, logs=folder, seed=1, seconds=0, daemons=DAEMONS, workers=WORKERS,
                                  clients=ORDINARY_CLIENTS, tenants="never", only=None)
     soak = Soak(options, 1)
@@ -101,10 +128,13 @@
             soak.spawn(soak.client(number, now() + 600))
         watches = {each: Watch(each.process.pid, [each.ports["frontend"]]) for each in soak.daemons}
         at_rest = sanitizer_bytes(soak.daemons[0].process.pid)
-        await asyncio.to_thread(flood_all, list(watches.values()), soak.daemons, method, body)
+        sizes = {each: soak.log_of(each).stat().st_size for each in soak.daemons}
+        await asyncio.to_thread(flood_all, list(watches.values()), soak.daemons, shape)
         problems = await ask(soak.daemons, name)
         for daemon, watch in watches.items():
             problems += problems_of(daemon, watch, at_rest, name)
+        if shape in SHAPES_WITHOUT_JOBS:
+            problems += log_problems(soak, sizes, name)
         leader, claims = soak.leader(), soak.store.claims
         successors = [each for each in soak.daemons if each is not leader]
         leader.signal(signal.SIGKILL)
@@ -117,7 +147,7 @@
     finally:
         await soak.tear_down()
     for daemon in soak.daemons:
-        if any(mark in (soak.folder / f"{daemon.key}.log").read_text(errors="replace") for mark in SANITIZER_MARKS):
+        if any(mark in soak.log_of(daemon).read_text(errors="replace") for mark in SANITIZER_MARKS):
             problems.append(f"{name}: the sanitizers reported a fault in {daemon.key}")
     return problems
 
@@ -128,7 +158,7 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, max(soft, 2048)), hard))
     problems = []
     begun = time.monotonic()
-    for shape in SHAPES:
+    for shape in SHAPES + SHAPES_WITHOUT_JOBS:
         if not sys.argv[2:] or shape[0] in sys.argv[2:]:
             with tempfile.TemporaryDirectory(prefix="wigeonkeel-") as folder:
                 problems += asyncio.run(play(sys.argv[1], folder, shape))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -89,7 +89,7 @@
         self.settings.write_text(json.dumps(settings))
 
     async def start(self):
-        log = open(self.soak.folder / f"{self.key}.log", "ab")
+        log = open(self.soak.log_of(self), "ab")
         self.process = await asyncio.create_subprocess_exec(
             str(self.soak.program), f"--settings={self.settings}", "--metrics_port=0",
             f"--advertise={ADDRESS}:{self.ports['advertised']}", stdout=log, stderr=log)
@@ -226,6 +226,9 @@
         self.events.append(f"{now():.2f} {event}")
         self.checker.note(event)
 
+    def log_of(self, daemon):
+        return self.folder / f"{daemon.key}.log"
+
     def leader(self):
         """The daemon that wrote the last claim."""
         return next((each for each in self.daemons if each.key == self.store.leader), self.daemons[0])
