--- a/core/protocol/forwarding.cpp
+++ b/core/protocol/forwarding.cpp
@@ -8,6 +8,18 @@
 namespace
 {
 
+constexpr std::size_t entryBytes = sizeof(ForwardEntry) + 128;
+constexpr std::string_view logPart = "requests";
+
+std::size_t bytesOf(const ForwardEntry &entry)
+{
+    std::size_t bytes = entryBytes + submittedBytes(entry.submission);
+    for (const auto &[offset, chunk] : entry.assembly.chunks) {
+        bytes += chunk.size();
+    }
+    return bytes;
+}
+
 bool isFinal(const ForwardEntry &entry, const Answer &answer)
 {
     // A home acknowledges a request that is waited for with `running`.
@@ -60,6 +72,12 @@
     if (table.entries.size() >= table.options.maxEntries) {
         return false;
     }
+    const std::size_t bytes = bytesOf(entry);
+    if (!hasRoom(table.memory, bytes)) {
+        noteRefused(table.memory, logPart, "Requests that are passed on", now.monotonic, actions);
+        return false;
+    }
+    charge(table.memory, entry.bytes, bytes);
     if (entry.exchange == 0 || entry.peer != peer) {
         entry.exchange = table.nextExchange++;
         entry.assembly = {};
@@ -111,6 +129,7 @@
         return;
     }
     auto result = addChunk(entry.assembly, message, table.options.maxResultBytes);
+    charge(table.memory, entry.bytes, bytesOf(entry));
     if (!result) {
         entry.nextSend = std::max(entry.nextSend, now.monotonic + table.options.retryAfter);
         return;
@@ -118,6 +137,7 @@
     Answer answer = message.answer;
     answer.result = std::move(*result);
     sendAnswer(entry.waiter, answer, actions);
+    charge(table.memory, entry.bytes, 0);
     table.entries.erase(found);
 }
 
@@ -130,6 +150,7 @@
             ++item;
             continue;
         }
+        charge(table.memory, item->second.bytes, 0);
         overdue.push_back(std::move(item->second));
         item = table.entries.erase(item);
     }
@@ -138,8 +159,15 @@
 
 void dropCaller(ForwardTable &table, CallerToken caller)
 {
-    std::erase_if(table.entries,
-        [caller](const auto &item) { return item.second.waiter.peer.empty() && item.second.waiter.caller == caller; });
+    for (auto item = table.entries.begin(); item != table.entries.end();) {
+        const Waiter &waiter = item->second.waiter;
+        if (!waiter.peer.empty() || waiter.caller != caller) {
+            ++item;
+            continue;
+        }
+        charge(table.memory, item->second.bytes, 0);
+        item = table.entries.erase(item);
+    }
 }
 
 } // namespace wigeonkeel
--- a/core/protocol/forwarding.h
+++ b/core/protocol/forwarding.h
@@ -5,6 +5,7 @@
 #include "core/caller_messages.h"
 #include "core/clock.h"
 #include "core/peer_messages.h"
+#include "core/protocol/kept_memory.h"
 #include "core/protocol/requests.h"
 
 #include <map>
@@ -55,12 +56,15 @@
     std::uint32_t sends = 0;
     MonotonicTime nextSend{};
     AnswerAssembly assembly;
+    /// What the entry is charged with.
+    std::size_t bytes = 0;
 };
 
 struct ForwardTable
 {
     ForwardOptions options;
     std::map<std::uint64_t, ForwardEntry> entries;
+    KeptMemory memory{.limit = 256 << 20};
     /// Starts from the daemon's incarnation, so that an answer to its predecessor is not taken for one to itself.
     std::uint64_t nextExchange = 1;
 };
--- a/core/protocol/jobs.cpp
+++ b/core/protocol/jobs.cpp
@@ -20,6 +20,22 @@
 /// Bounds the record when very many tasks fail. A new home counts the attempts of the others from 0.
 constexpr std::size_t maxStoredAttempts = 5000;
 
+/// The entry, its places in the indices, and its record while it is written.
+constexpr std::size_t entryBytes = sizeof(JobEntry) + 1024;
+/// A task and its place in one of the job's sets.
+constexpr std::size_t openTaskBytes = sizeof(JobTask) + 48;
+/// The record holds the payload in hexadecimal digits, beside that of the entry.
+constexpr std::size_t payloadCopies = 3;
+
+std::size_t bytesOf(const JobOptions &options, const JobEntry &job)
+{
+    if (job.phase != JobPhase::Ended) {
+        return submittedJobBytes(options, job.submission) + job.resultBytes;
+    }
+    return entryBytes + submittedBytes(job.submission) + job.tasks.size() * sizeof(JobTask) + job.resultBytes
+        + job.answer.result.size();
+}
+
 bool isUnderWay(const JobTask &task)
 {
     return task.state == JobTaskState::Queued || task.state == JobTaskState::Started;
@@ -159,6 +175,7 @@
     if (update.progress == TaskProgress::Done) {
         endTask(job, index, JobTaskState::Done);
         keepResult(table.options, job, index, update.result);
+        charge(table.memory, job.bytes, bytesOf(table.options, job));
         // The owner keeps the result until the record shows the end.
         return false;
     }
@@ -199,6 +216,14 @@
     return due;
 }
 
+std::size_t submittedJobBytes(const JobOptions &options, const Submission &submission)
+{
+    // Each task under way has a copy of the payload.
+    const std::size_t copies = std::min(submission.taskCount, options.maxUnderWay) + payloadCopies;
+    return entryBytes + submission.operatorName.size() + submission.id.size() + submission.team.size()
+        + submission.workload.size() + submission.payload.size() * copies + submission.taskCount * openTaskBytes;
+}
+
 JobEntry &addJob(JobTable &table, const Submission &submission, const Now &now)
 {
     const RequestKey key = makeRequestKey(submission.operatorName, submission.id);
@@ -210,6 +235,7 @@
     }
     job.since = now.monotonic;
     job.store.dirty = true;
+    charge(table.memory, job.bytes, bytesOf(table.options, job));
     return job;
 }
 
@@ -221,6 +247,7 @@
     // Those who wait and the place among the looks outlive a reload.
     std::swap(fresh.waiting, job.waiting);
     fresh.nextLook = job.nextLook;
+    fresh.bytes = job.bytes;
     job = std::move(fresh);
     job.submission = record.submission;
     job.cancelled = record.cancelled;
@@ -252,8 +279,10 @@
         job.phase = JobPhase::Ended;
         job.answer = record.answer;
         job.endedAt = record.endedAt;
+        charge(table.memory, job.bytes, bytesOf(table.options, job));
         return job;
     }
+    charge(table.memory, job.bytes, bytesOf(table.options, job));
     job.phase = JobPhase::TakingOver;
     job.store.dirty = true;
     if (record.cancelled) {
@@ -298,6 +327,7 @@
     for (const Waiter &waiter : found->second.waiting) {
         table.callers.erase(waiter.caller);
     }
+    charge(table.memory, found->second.bytes, 0);
     table.entries.erase(found);
 }
 
@@ -474,6 +504,7 @@
     job.endedAt = now.wall;
     job.ready.clear();
     job.delayed.clear();
+    charge(table.memory, job.bytes, bytesOf(table.options, job));
     job.store.dirty = true;
     job.store.nextWrite = now.monotonic;
     answerJobWaiters(table, job, job.answer, actions);
--- a/core/protocol/jobs.h
+++ b/core/protocol/jobs.h
@@ -4,6 +4,7 @@
 #include "core/caller_messages.h"
 #include "core/cell/job_failures.h"
 #include "core/clock.h"
+#include "core/protocol/kept_memory.h"
 #include "core/protocol/requests.h"
 #include "core/routing/random.h"
 
@@ -161,6 +162,8 @@
     std::set<std::string, std::less<>> located;
     MonotonicTime nextLookup{};
     JobStoreState store;
+    /// What the entry is charged with.
+    std::size_t bytes = 0;
 };
 
 /// A partition whose home is this daemon.
@@ -194,6 +197,8 @@
 {
     JobOptions options;
     absl::flat_hash_map<RequestKey, JobEntry> entries;
+    /// Jobs that are taken over are charged too, and are never refused.
+    KeptMemory memory{.limit = 512 << 20};
     std::set<std::pair<MonotonicTime, RequestKey>> looks;
     absl::flat_hash_map<std::uint64_t, RequestKey> calls;
     absl::flat_hash_map<CallerToken, RequestKey> callers;
@@ -227,6 +232,9 @@
 /// Takes out the jobs that are due, a bounded number.
 std::vector<RequestKey> takeDueJobs(JobTable &table, MonotonicTime now);
 
+/// Bytes that a job takes until it has ended.
+std::size_t submittedJobBytes(const JobOptions &options, const Submission &submission);
+
 /// Adds a job that the store does not know yet.
 JobEntry &addJob(JobTable &table, const Submission &submission, const Now &now);
 /// Adds a job from its record. An unfinished one is to be taken over.
--- a/core/protocol/requests.cpp
+++ b/core/protocol/requests.cpp
@@ -10,6 +10,16 @@
 
 /// Bytes; a quarter of the largest frame, so that heartbeats are not held up for long.
 constexpr std::size_t chunkBytes = 262144;
+/// The entry, its keys in the indices, and its task in the queue or on a worker.
+constexpr std::size_t entryBytes = sizeof(RequestEntry) + 512;
+/// A payload is in the entry, in the queued task and in the start that is being sent.
+constexpr std::size_t payloadCopies = 3;
+constexpr std::string_view logPart = "requests";
+
+std::size_t bytesOf(const RequestEntry &entry)
+{
+    return entryBytes + submittedBytes(entry.submission) + entry.answer.result.size() + entry.answer.reason.size();
+}
 
 bool isUndecided(RequestPhase phase)
 {
@@ -55,6 +65,13 @@
     return !ends && update.startCount != 0 && update.startCount < entry.startCount;
 }
 
+void refuseForMemory(
+    RequestTable &table, const Submission &submission, const Waiter &waiter, const Now &now, Actions &actions)
+{
+    noteRefused(table.memory, logPart, "Requests", now.monotonic, actions);
+    sendAnswer(waiter, makeRefusal(table.options, submission, "requests take too much memory here", now), actions);
+}
+
 bool mayRestart(const RequestTable &table, const RequestEntry &entry)
 {
     const bool allowed = !isJournaled(entry.submission) || !table.options.rules.singleStart;
@@ -89,6 +106,12 @@
 
 } // namespace
 
+std::size_t submittedBytes(const Submission &submission)
+{
+    return submission.operatorName.size() + submission.id.size() + submission.team.size() + submission.workload.size()
+        + submission.payload.size() * payloadCopies;
+}
+
 bool isJournaled(const Submission &submission)
 {
     return submission.kind == TaskKind::Request && !submission.idempotent;
@@ -120,8 +143,13 @@
     if (found != table.entries.end()) {
         RequestEntry &entry = found->second;
         if (entry.queryOnly && !queryOnly && entry.phase != RequestPhase::Ended) {
+            if (!hasRoom(table.memory, submittedBytes(submission))) {
+                refuseForMemory(table, submission, waiter, now, actions);
+                return nullptr;
+            }
             entry.queryOnly = false;
             takeSubmission(entry, submission, now);
+            charge(table.memory, entry.bytes, bytesOf(entry));
         }
         // A caller who repeats an idempotent request may have had it started by another home in the meantime.
         if (entry.phase != RequestPhase::Ended && !queryOnly && !isJournaled(submission)
@@ -139,6 +167,10 @@
         sendAnswer(waiter, makeRefusal(table.options, submission, "too many requests are kept here", now), actions);
         return nullptr;
     }
+    if (!hasRoom(table.memory, entryBytes + submittedBytes(submission))) {
+        refuseForMemory(table, submission, waiter, now, actions);
+        return nullptr;
+    }
     RequestEntry &entry = table.entries[key];
     takeSubmission(entry, submission, now);
     entry.queryOnly = queryOnly;
@@ -147,6 +179,7 @@
     entry.admittedAt = now.monotonic;
     entry.phaseSince = now.monotonic;
     entry.clearedAt = now.monotonic;
+    charge(table.memory, entry.bytes, bytesOf(entry));
     addWaiter(table, entry, key, waiter);
     return &entry;
 }
@@ -188,6 +221,9 @@
     }
     entry.waiting.clear();
     entry.lookups.clear();
+    // An ended request is not started again.
+    entry.submission.payload = std::string();
+    charge(table.memory, entry.bytes, bytesOf(entry));
 }
 
 void dropRequest(RequestTable &table, const RequestKey &key, const Answer &answer, Actions &actions)
@@ -197,6 +233,7 @@
         answerWaiter(table, waiter, answer, actions);
     }
     table.undecided.erase(key);
+    charge(table.memory, found->second.bytes, 0);
     table.entries.erase(found);
 }
 
@@ -351,6 +388,7 @@
             return;
         }
         if (found != table.entries.end()) {
+            charge(table.memory, found->second.bytes, 0);
             table.entries.erase(found);
         }
         table.ended.pop_front();
--- a/core/protocol/requests.h
+++ b/core/protocol/requests.h
@@ -4,6 +4,7 @@
 #include "core/caller_messages.h"
 #include "core/clock.h"
 #include "core/peer_messages.h"
+#include "core/protocol/kept_memory.h"
 
 #include <deque>
 #include <map>
@@ -150,12 +151,15 @@
     /// When it was known last that the request runs nowhere: at the admission of a first attempt, or at the begin of
     /// the last round of lookups.
     MonotonicTime clearedAt{};
+    /// What the entry is charged with.
+    std::size_t bytes = 0;
 };
 
 struct RequestTable
 {
     RequestOptions options;
     absl::flat_hash_map<RequestKey, RequestEntry> entries;
+    KeptMemory memory{.limit = 512 << 20};
     /// Entries that wait for the journal, lookups or a check; looked at every tick.
     absl::flat_hash_set<RequestKey> undecided;
     /// Entries to be queued again.
@@ -180,6 +184,9 @@
 Answer makeRefusal(
     const RequestOptions &options, const Submission &submission, std::string_view reason, const Now &now);
 
+/// Bytes that a submission takes until it has ended, without the entry that keeps it.
+std::size_t submittedBytes(const Submission &submission);
+
 /// Takes a submission or (`queryOnly`) a question. Returns the entry if it is new; a null entry was answered or joins
 /// the one that is present.
 RequestEntry *admitRequest(RequestTable &table, const Submission &submission, bool queryOnly, const Waiter &waiter,
--- a/core/scheduler/counters.cpp
+++ b/core/scheduler/counters.cpp
@@ -92,6 +92,9 @@
     CounterSpec{"wigeonkeel_jobs_taken_over_total", "Jobs taken over from another daemon.", &Counters::jobsTakenOver},
     CounterSpec{
         "wigeonkeel_jobs_handed_over_total", "Jobs that another daemon has taken over.", &Counters::jobsHandedOver},
+    CounterSpec{"wigeonkeel_refused_for_memory_total",
+        "Requests, jobs and forwards that were refused because of the settings max_bytes.",
+        &Counters::refusedForMemory},
     CounterSpec{"wigeonkeel_job_writes_total", "Writes of job records.", &Counters::jobWrites},
 };
 
--- a/core/scheduler/counters.h
+++ b/core/scheduler/counters.h
@@ -61,6 +61,8 @@
     std::uint64_t jobsTakenOver = 0;
     std::uint64_t jobsHandedOver = 0;
     std::uint64_t jobWrites = 0;
+    /// Requests, jobs and forwards together.
+    std::uint64_t refusedForMemory = 0;
 };
 
 struct CounterSpec
--- a/core/scheduler/gauges.cpp
+++ b/core/scheduler/gauges.cpp
@@ -60,6 +60,9 @@
 constexpr std::string_view peersName = "wigeonkeel_peers";
 constexpr std::string_view peersHelp = "Other daemons, by what this one knows of them.";
 
+constexpr std::string_view keptName = "wigeonkeel_kept_bytes";
+constexpr std::string_view keptHelp = "Memory of what is kept for callers; see the settings max_bytes.";
+
 constexpr std::array specs = {
     GaugeSpec{queuedName, queuedHelp, "kind", "request", queuedTasks<TaskKind::Request>},
     GaugeSpec{queuedName, queuedHelp, "kind", "service", queuedTasks<TaskKind::Service>},
@@ -91,6 +94,12 @@
         [](const Scheduler &scheduler) { return static_cast<double>(scheduler.requests.undecided.size()); }},
     GaugeSpec{"wigeonkeel_jobs_kept", "Jobs of which this daemon is the home.", {}, {},
         [](const Scheduler &scheduler) { return static_cast<double>(scheduler.jobs.entries.size()); }},
+    GaugeSpec{keptName, keptHelp, "table", "requests",
+        [](const Scheduler &scheduler) { return static_cast<double>(scheduler.requests.memory.used); }},
+    GaugeSpec{keptName, keptHelp, "table", "jobs",
+        [](const Scheduler &scheduler) { return static_cast<double>(scheduler.jobs.memory.used); }},
+    GaugeSpec{keptName, keptHelp, "table", "forwards",
+        [](const Scheduler &scheduler) { return static_cast<double>(scheduler.forwards.memory.used); }},
     GaugeSpec{"wigeonkeel_offers_open", "Tasks offered to peers that have not settled them.", {}, {},
         [](const Scheduler &scheduler) { return static_cast<double>(scheduler.offers.outgoing.size()); }},
     GaugeSpec{"wigeonkeel_store_reachable", "1 while the store answers.", {}, {},
--- a/core/scheduler/job_events.cpp
+++ b/core/scheduler/job_events.cpp
@@ -35,6 +35,9 @@
     if (scheduler.jobs.entries.size() >= options.maxEntries) {
         return "too many jobs are kept here";
     }
+    if (submittedJobBytes(options, submission) > scheduler.jobs.memory.limit) {
+        return "the job takes more memory than all jobs here may take";
+    }
     return scheduler.storeReachable ? "" : "the store does not answer; jobs are kept there";
 }
 
@@ -66,6 +69,13 @@
         sendAnswer(waiter, makeRefusal(scheduler.requests.options, submission, refusal, now), actions);
         return;
     }
+    if (!hasRoom(scheduler.jobs.memory, submittedJobBytes(scheduler.jobs.options, submission))) {
+        ++scheduler.counters.jobsRefused;
+        noteRefused(scheduler.jobs.memory, "jobs", "Jobs", now.monotonic, actions);
+        sendAnswer(waiter, makeRefusal(scheduler.requests.options, submission, "jobs take too much memory here", now),
+            actions);
+        return;
+    }
     const RequestKey key = makeRequestKey(submission.operatorName, submission.id);
     JobEntry &job = addJob(scheduler.jobs, submission, now);
     joinJob(scheduler.jobs, key, job, waiter, actions);
@@ -211,6 +221,8 @@
     scheduler.counters.jobsTakenOver = jobs.counts.takenOver;
     scheduler.counters.jobsHandedOver = jobs.counts.handedOver;
     scheduler.counters.jobWrites = jobs.counts.writes;
+    scheduler.counters.refusedForMemory
+        = scheduler.requests.memory.refused + jobs.memory.refused + scheduler.forwards.memory.refused;
 }
 
 bool drainJobs(Scheduler &scheduler, const Now &now)
--- a/core/scheduler/request_events.cpp
+++ b/core/scheduler/request_events.cpp
@@ -214,7 +214,10 @@
     }
     const std::string home(reachableHomeOf(scheduler.membership, partitionOf(entry.key)));
     if (home != scheduler.membership.options.self.name) {
-        startForward(scheduler.forwards, std::move(entry), home, now, actions);
+        const Waiter waiter = entry.waiter;
+        if (!startForward(scheduler.forwards, std::move(entry), home, now, actions)) {
+            sendAnswer(waiter, {.outcome = Outcome::Unknown, .reason = "too many requests are passed on"}, actions);
+        }
         return;
     }
     switch (entry.kind) {
--- a/main/daemon_setup.cpp
+++ b/main/daemon_setup.cpp
@@ -31,6 +31,7 @@
     requests.lookupTimeout = settings.duration("request.lookup_timeout");
     requests.maxClockAhead = settings.duration("request.max_clock_ahead");
     requests.maxEntries = static_cast<std::size_t>(settings.integer("request.max_entries"));
+    scheduler.requests.memory.limit = static_cast<std::size_t>(settings.integer("request.max_bytes"));
     requests.maxTombstones = static_cast<std::size_t>(settings.integer("request.max_tombstones"));
     requests.keepAnswers = settings.duration("request.keep_answers");
     requests.keepTombstones = settings.duration("journal.horizon");
@@ -52,6 +53,7 @@
     forwards.options.retryAfter = settings.duration("forward.retry_after");
     forwards.options.maxSends = static_cast<std::uint32_t>(settings.integer("forward.max_sends"));
     forwards.options.maxEntries = static_cast<std::size_t>(settings.integer("forward.max_entries"));
+    forwards.memory.limit = static_cast<std::size_t>(settings.integer("forward.max_bytes"));
     forwards.options.maxResultBytes = static_cast<std::uint64_t>(settings.integer("forward.max_result"));
     forwards.nextExchange = (self.incarnation << 32) | 1;
     // Peers remember answers by exchange; a new incarnation must not get those of its predecessor.
@@ -68,6 +70,7 @@
     jobs.maxUnderWay = static_cast<std::uint32_t>(settings.integer("job.max_under_way"));
     jobs.maxTasks = static_cast<std::uint32_t>(settings.integer("job.max_tasks"));
     jobs.maxEntries = static_cast<std::size_t>(settings.integer("job.max_entries"));
+    scheduler.jobs.memory.limit = static_cast<std::size_t>(settings.integer("job.max_bytes"));
     jobs.resultLimit = static_cast<std::size_t>(settings.integer("job.result_limit"));
     jobs.keep = settings.duration("job.keep");
     jobs.writeInterval = settings.duration("job.write_interval");
--- a/tests/process/untrusted_clients.py
+++ b/tests/process/untrusted_clients.py
@@ -171,15 +171,22 @@
         watch.sample()
 
 
+def flooded(chunk, linger=0.0, **options):
+    """A pattern: a crowd that sends `chunk` repeatedly, as `flood` does, and closes its connections `linger` seconds
+    later."""
+    def run(watch, address, port):
+        clients = crowd(address, port)
+        flood(watch, clients, chunk, **options)
+        until = time.monotonic() + linger
+        while time.monotonic() < until:
+            time.sleep(SAMPLE_S)
+            watch.sample()
+        close(clients)
+    return run
+
+
 def http_patterns(paths, bodies):
     """Returns (name, function of a watch, an address and a port). Paths and bodies are those of the address."""
-    def flooded(chunk, **options):
-        def run(watch, address, port):
-            clients = crowd(address, port)
-            flood(watch, clients, chunk, **options)
-            close(clients)
-        return run
-
     def sent_once(data, reset=False):
         def run(watch, address, port):
             clients = crowd(address, port)
