--- a/core/dispatch/call_log.h
+++ b/core/dispatch/call_log.h
@@ -19,6 +19,7 @@
     Withdrawn,
     CancelRequested,
     EndReported,
+    NoRoomForCall,
     Unanswered,
     LateAnswer,
 };
--- a/core/dispatch/node.cpp
+++ b/core/dispatch/node.cpp
@@ -44,6 +44,10 @@
 /// A call that could not be sent to any leader is rejected after this. A takeover takes less than a second.
 constexpr milliseconds leaderlessCallTimeout{1100};
 constexpr milliseconds noLeaderRetryAfter{1000};
+/// A call that was forwarded this long ago has arrived: a connection without messages for a second is closed.
+constexpr milliseconds forwardTime{2000};
+/// Index entries of a call, here and at the front end.
+constexpr std::size_t callOverhead = 256;
 /// The answer is sent this long before the client's deadline. If the client left little time, the margin is only a
 /// fraction of it: a client's last attempt may have a tenth of a second, which is enough to accept a job.
 constexpr milliseconds answerMargin{150};
@@ -77,6 +81,22 @@
     return until - std::max(margin, MonotonicTime::duration::zero());
 }
 
+std::size_t bytesOf(const ClientCall &call)
+{
+    return sizeof(EntryCall) + callOverhead + call.queue.size() + call.tenant.size() + call.record.size();
+}
+
+/// Whether the call fits into what may be on its way to the leader. The largest call fits alone.
+bool takeForwardBudget(Node &node, const ClientCall &call)
+{
+    const std::size_t bytes = bytesOf(call);
+    if (bytes > node.forwardBudget && node.forwardBudget < maxForwardedBytes) {
+        return false;
+    }
+    node.forwardBudget -= std::min(bytes, node.forwardBudget);
+    return true;
+}
+
 void sendToLeader(Node &node, EntryCall &entry, Now now)
 {
     const MonotonicTime due = answerDue(node, entry);
@@ -92,8 +112,9 @@
         entry.sent = true;
         entry.everSent = true;
         handleClientCall(*node.dispatcher, entry.call, now);
-    } else if (node.leadership.leaderConnected) {
+    } else if (node.leadership.leaderConnected && takeForwardBudget(node, entry.call)) {
         entry.sent = true;
+        entry.sentAt = now.monotonic;
         entry.everSent = true;
         node.outbox.add(SendToNode{.node = node.leadership.leader.node, .body = ForwardedCall{.call = entry.call}});
     }
@@ -101,6 +122,11 @@
 
 void sendWaitingCalls(Node &node, Now now)
 {
+    std::size_t forwarded = 0;
+    for (const auto &[call, entry] : node.entries) {
+        forwarded += entry.sent && now.monotonic - entry.sentAt < forwardTime ? bytesOf(entry.call) : 0;
+    }
+    node.forwardBudget = maxForwardedBytes - std::min(forwarded, maxForwardedBytes);
     for (auto &[call, entry] : node.entries) {
         if (!entry.sent) {
             sendToLeader(node, entry, now);
@@ -119,9 +145,33 @@
         return;
     }
     node.outbox.add(AnswerClient{.kind = found->second.call.kind, .answer = answer});
+    node.entryBytes -= bytesOf(found->second.call);
+    node.abandonedEntries.erase(call);
     node.entries.erase(found);
 }
 
+/// Answers the calls of clients that are gone. Those that are on their way to the leader stay, because they count
+/// towards what may be.
+void dropAbandonedCalls(Node &node)
+{
+    const std::vector<CallId> abandoned(node.abandonedEntries.begin(), node.abandonedEntries.end());
+    for (const CallId call : abandoned) {
+        const EntryCall &entry = node.entries.at(call);
+        if (entry.sent && !isLeading(node)) {
+            continue;
+        }
+        finishEntry(node, call,
+            {.call = call,
+                .outcome = entry.everSent ? ClientOutcome::Unknown : ClientOutcome::Refused,
+                .retryAfter = noLeaderRetryAfter});
+    }
+}
+
+bool hasRoomFor(const Node &node, const ClientCall &call)
+{
+    return node.entryBytes + bytesOf(call) <= node.options.callMemoryBytes;
+}
+
 /// Answers calls whose time is up and calls that could not be sent to a leader in time.
 void expireEntries(Node &node, Now now)
 {
@@ -534,11 +584,31 @@
 void handleClientCall(Node &node, ClientCall call, milliseconds timeLeft, Now now)
 {
     const CallId id = call.call;
+    if (!hasRoomFor(node, call)) {
+        dropAbandonedCalls(node);
+    }
+    if (!hasRoomFor(node, call)) {
+        ++node.callsRefusedByMemory;
+        logCall(node.callLog, CallLine::NoRoomForCall, now.monotonic, logPart,
+            "Call refused: calls that wait take too much memory. job={} bytes={} limit={}", formatJobId(call.job),
+            node.entryBytes, node.options.callMemoryBytes);
+        node.outbox.add(AnswerClient{.kind = call.kind,
+            .answer = {.call = id, .outcome = ClientOutcome::Refused, .retryAfter = noLeaderRetryAfter}});
+        return;
+    }
+    node.entryBytes += bytesOf(call);
     EntryCall &entry = node.entries[id];
     entry = {.call = std::move(call), .receivedAt = now.monotonic, .deadline = now.monotonic + timeLeft};
     sendToLeader(node, entry, now);
 }
 
+void handleClientGone(Node &node, CallId call)
+{
+    if (node.entries.contains(call)) {
+        node.abandonedEntries.insert(call);
+    }
+}
+
 void handlePeerMessage(Node &node, std::string_view from, const PeerBody &body, Now now)
 {
     if (from == node.leadership.leader.node) {
--- a/core/dispatch/node.h
+++ b/core/dispatch/node.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,8 @@
     DispatchBounds bounds;
     /// Memory that jobs may take while this daemon leads.
     std::size_t jobMemoryBytes = JobMemory{}.limit;
+    /// Memory that clients' calls may take at this daemon until they are answered.
+    std::size_t callMemoryBytes = std::size_t{32} << 20;
     /// Time between the platform's termination signal and the moment it kills the process.
     milliseconds shutdownGrace{6000};
 };
@@ -174,8 +177,13 @@
     bool everSent = false;
     /// Sent to the current leader.
     bool sent = false;
+    MonotonicTime sentAt{};
 };
 
+/// Records of calls that may be on their way to the leader. Less than a link may queue, so that the calls that waited
+/// for a new leader don't make the link fail.
+constexpr std::size_t maxForwardedBytes = 1 << 20;
+
 /// The daemon that a call came from, and the number of the call there; the answer is returned to it.
 struct CallOrigin
 {
@@ -230,6 +238,13 @@
     std::unique_ptr<Dispatcher> dispatcher;
     absl::flat_hash_map<CallId, StorePurpose> storeCalls;
     std::map<CallId, EntryCall> entries;
+    /// What the entries take.
+    std::size_t entryBytes = 0;
+    /// Calls whose clients have closed their connections or sending sides; dropped when there is no room for others.
+    std::set<CallId> abandonedEntries;
+    std::uint64_t callsRefusedByMemory = 0;
+    /// Bytes that may be forwarded before the next tick.
+    std::size_t forwardBudget = maxForwardedBytes;
     CallLog callLog;
     absl::flat_hash_map<CallId, CallOrigin> forwarded;
     /// Advice requests that this daemon makes on behalf of the leader.
@@ -266,6 +281,8 @@
 
 /// Handles a client's call after routing. The answer is emitted as an AnswerClient action.
 void handleClientCall(Node &node, ClientCall call, milliseconds timeLeft, Now now);
+/// The client of a call won't read its answer, or has only closed its sending side.
+void handleClientGone(Node &node, CallId call);
 
 void handlePeerMessage(Node &node, std::string_view from, const PeerBody &body, Now now);
 void handleNodeConnected(Node &node, std::string_view name, Now now);
--- a/main/wigeonkeel_entry.cpp
+++ b/main/wigeonkeel_entry.cpp
@@ -25,6 +25,8 @@
 ABSL_FLAG(std::uint32_t, job_memory_mb, 0,
     "MiB that jobs may take while the daemon leads, the same for all daemons; 0 for a quarter of the settings' "
     "memoryMb");
+ABSL_FLAG(std::uint32_t, call_memory_mb, 0,
+    "MiB that clients' calls may take until they are answered; 0 for an eighth of the settings' memoryMb");
 ABSL_FLAG(std::uint32_t, call_log_per_second, 100,
     "lines a second that clients' calls may cause, for each kind of line; more are counted and left out, so that "
     "clients "
@@ -107,6 +109,9 @@
     if (const std::size_t jobMemory = absl::GetFlag(FLAGS_job_memory_mb); jobMemory > 0) {
         kernel.node.options.jobMemoryBytes = jobMemory << 20;
     }
+    if (const std::size_t callMemory = absl::GetFlag(FLAGS_call_memory_mb); callMemory > 0) {
+        kernel.node.options.callMemoryBytes = callMemory << 20;
+    }
     kernel.node.callLog.rate.interval
         = MonotonicTime::duration(std::chrono::seconds(1)) / std::max(absl::GetFlag(FLAGS_call_log_per_second), 1U);
     std::random_device entropy;
--- a/modules/cluster_metrics/cluster_metrics.cpp
+++ b/modules/cluster_metrics/cluster_metrics.cpp
@@ -161,6 +161,9 @@
     gauge("leader_token", static_cast<double>(node.leadership.leader.token));
     gauge("configuration_version", static_cast<double>(node.configuration.version));
     gauge("client_calls_open", static_cast<double>(node.entries.size()));
+    gauge("client_calls_bytes", static_cast<double>(node.entryBytes));
+    families.push_back(family("calls_refused_by_memory_total", prometheus::MetricType::Counter,
+        static_cast<double>(node.callsRefusedByMemory)));
     families.push_back(
         family("unexpected_errors_total", prometheus::MetricType::Counter, static_cast<double>(unexpectedErrors())));
     const std::uint64_t suppressed
--- a/tests/process/untrusted_jobs_test.py
+++ b/tests/process/untrusted_jobs_test.py
@@ -15,7 +15,7 @@
 
 import load  # noqa: F401  (finds misc/cluster.py)
 from cluster import SANITIZER_MARKS
-from untrusted_clients import SANITIZER_ENV, Watch, answered, close, crowd, flood, sanitizer_bytes
+from untrusted_clients import SANITIZER_ENV, STALL_S, Watch, answered, close, crowd, flood, sanitizer_bytes
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "soak"))
 from soak import ADDRESS, HOST, Soak, now  # noqa: E402
@@ -32,6 +32,9 @@
 SPEC = json.dumps({"cpu": 200, "ms": 100, "fails": False, "gangs": [0] * 250})
 
 
+DEADLINE = "X-Wigeonkeel-Deadline-Ms"
+
+
 def job(steps, **fields):
     return {"spec": SPEC, "steps": steps, **fields}
 
@@ -55,11 +58,13 @@
     ("cancels of unknown jobs", "DELETE", None),
     ("cancels of one unknown job", "DELETE", None),
 ]
+ABANDONED_SHAPES = [("submissions that are abandoned while the leader is paused", "POST",
+                     job([{**STEP, "image": "x" * 800}] * 250))]
 
 
-def call(method, number, body=None):
+def call(method, number, body=None, headers=""):
     text = b"" if body is None else json.dumps(body).encode()
-    return (f"{method} /batch/{number:016x} HTTP/1.1\r\nHost: {HOST}\r\n"
+    return (f"{method} /batch/{number:016x} HTTP/1.1\r\nHost: {HOST}\r\n{headers}"
             f"Content-Length: {len(text)}\r\n\r\n").encode() + text
 
 
@@ -79,6 +84,25 @@
     close(clients)
 
 
+def abandon_all(watches, followers, shape):
+    """Large submissions with a late deadline; the clients are gone before anybody answers them."""
+    body = shape[2]
+    numbers = itertools.count(1)
+    until = time.monotonic() + FLOOD_S
+    while time.monotonic() < until:
+        clients = [client for index in range(CROWD)
+                   for client in crowd(ADDRESS, followers[index % len(followers)].ports["frontend"], 1)]
+        for client in clients:
+            client.settimeout(STALL_S)
+            try:
+                client.sendall(call(shape[1], next(numbers), body, headers=f"{DEADLINE}: 60000\r\n"))
+            except OSError:
+                pass
+        for watch in watches:
+            watch.sample()
+        close(clients, reset=True)
+
+
 def problems_of(daemon, watch, at_rest, name):
     watch.sample()
     peak = watch.peak() if daemon.is_up() else None
@@ -129,7 +153,14 @@
         watches = {each: Watch(each.process.pid, [each.ports["frontend"]]) for each in soak.daemons}
         at_rest = sanitizer_bytes(soak.daemons[0].process.pid)
         sizes = {each: soak.log_of(each).stat().st_size for each in soak.daemons}
-        await asyncio.to_thread(flood_all, list(watches.values()), soak.daemons, shape)
+        if shape in ABANDONED_SHAPES:
+            paused = soak.leader()
+            paused.signal(signal.SIGSTOP)
+            others = [each for each in soak.daemons if each is not paused]
+            await asyncio.to_thread(abandon_all, list(watches.values()), others, shape)
+            paused.signal(signal.SIGCONT)
+        else:
+            await asyncio.to_thread(flood_all, list(watches.values()), soak.daemons, shape)
         problems = await ask(soak.daemons, name)
         for daemon, watch in watches.items():
             problems += problems_of(daemon, watch, at_rest, name)
@@ -158,7 +189,7 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, max(soft, 2048)), hard))
     problems = []
     begun = time.monotonic()
-    for shape in SHAPES + SHAPES_WITHOUT_JOBS:
+    for shape in SHAPES + SHAPES_WITHOUT_JOBS + ABANDONED_SHAPES:
         if not sys.argv[2:] or shape[0] in sys.argv[2:]:
             with tempfile.TemporaryDirectory(prefix="wigeonkeel-") as folder:
                 problems += asyncio.run(play(sys.argv[1], folder, shape))
