--- a/core/dispatch/job_memory.cpp
+++ b/core/dispatch/job_memory.cpp
@@ -37,13 +37,19 @@
     return bytes;
 }
 
-/// Part of the limit that other tenants can't use up. Without tenants in force, it belongs to the jobs without one.
-std::size_t ownPart(const JobMemory &memory, const TenantTable &tenants, TenantSlot tenant)
+/// Weights of the tenants in force together; 0 if there are none.
+double totalWeight(const TenantTable &tenants)
 {
     double weights = 0;
     for (const TenantState &row : tenants.rows) {
         weights += row.isConfigured ? row.weight : 0.0;
     }
+    return weights;
+}
+
+/// Part of the limit that other tenants can't use up. Without tenants in force, it belongs to the jobs without one.
+std::size_t ownPart(const JobMemory &memory, const TenantTable &tenants, TenantSlot tenant, double weights)
+{
     const std::size_t divided = memory.limit / ownShare;
     const TenantState &row = tenants.rows[tenant];
     if (weights <= 0) {
@@ -55,17 +61,21 @@
 /// What would be missing in the common half with these bytes more for the tenant; 0 if nothing.
 std::size_t missingBytes(const JobMemory &memory, const TenantTable &tenants, TenantSlot tenant, std::size_t bytes)
 {
+    const std::size_t common = memory.limit - memory.limit / ownShare;
+    if (memory.used + bytes <= common) {
+        return 0;
+    }
+    const double weights = totalWeight(tenants);
     std::size_t beyondParts = 0;
     for (TenantSlot slot = 0; slot < tenants.rows.size(); ++slot) {
         const std::size_t used = tenants.rows[slot].jobBytes + (slot == tenant ? bytes : 0);
-        const std::size_t part = ownPart(memory, tenants, slot);
+        const std::size_t part = ownPart(memory, tenants, slot, weights);
         const std::size_t beyond = used > part ? used - part : 0;
         if (slot == tenant && beyond == 0) {
             return 0;
         }
         beyondParts += beyond;
     }
-    const std::size_t common = memory.limit - memory.limit / ownShare;
     return beyondParts > common ? beyondParts - common : 0;
 }
 
@@ -109,7 +119,8 @@
     if (missingBytes(memory, tenants, tenant, bytes) == 0) {
         return JobFit::Fits;
     }
-    const std::size_t most = ownPart(memory, tenants, tenant) + memory.limit - memory.limit / ownShare;
+    const std::size_t most
+        = ownPart(memory, tenants, tenant, totalWeight(tenants)) + memory.limit - memory.limit / ownShare;
     return bytes > most ? JobFit::TooLarge : JobFit::Full;
 }
 
