--- a/tests/process/untrusted_clients.py
+++ b/tests/process/untrusted_clients.py
@@ -37,14 +37,16 @@
 
 
 class Watch:
-    """Peak memory of a process, with the bytes that the system keeps for its sockets, and its open descriptors."""
+    """Peak memory of a process, with the bytes that the system keeps for its sockets, and its open descriptors. `from_now`:
+    what it took before does not count."""
 
-    def __init__(self, pid, ports):
+    def __init__(self, pid, ports, from_now=True):
         self.pid, self.ports = pid, {f"{port:04X}" for port in ports}
         self.unread = self.descriptors = 0
         self.next = 0.0
-        with open(f"/proc/{pid}/clear_refs", "w", encoding="ascii") as file:
-            file.write("5")
+        if from_now:
+            with open(f"/proc/{pid}/clear_refs", "w", encoding="ascii") as file:
+                file.write("5")
 
     def sample(self):
         if time.monotonic() < self.next:
