--- a/main/wigeonkeel_entry.cpp
+++ b/main/wigeonkeel_entry.cpp
@@ -28,8 +28,7 @@
 ABSL_FLAG(std::uint32_t, call_memory_mb, 0,
     "MiB that clients' calls may take until they are answered; 0 for an eighth of the settings' memoryMb");
 ABSL_FLAG(std::uint32_t, call_log_per_second, 100,
-    "lines a second that clients' calls may cause, for each kind of line; more are counted and left out, so that "
-    "clients "
+    "lines a second that clients' calls may cause, for each kind of line; further ones are counted, so that clients "
     "can't fill the disk of the log");
 ABSL_FLAG(bool, check_settings, false, "check the settings, print what is wrong and exit");
 ABSL_FLAG(bool, version, false, "print the version and exit");
