--- a/tests/dispatch/job_memory_test.cpp
+++ b/tests/dispatch/job_memory_test.cpp
@@ -135,7 +135,7 @@
     CHECK_TRUE(outcomes.at(ClientOutcome::Refused) > 0);
     CHECK_EQUAL(burst, outcomes.at(ClientOutcome::Ok) + outcomes.at(ClientOutcome::Refused));
     CHECK_TRUE(world.memory().used <= limit);
-    CHECK_EQUAL(outcomes.at(ClientOutcome::Refused), world.leader()->dispatcher->counters.rejectedByMemory);
+    UNSIGNED_LONGS_EQUAL(outcomes.at(ClientOutcome::Refused), world.leader()->dispatcher->counters.rejectedByMemory);
     const std::size_t used = world.memory().used;
     const std::size_t former = world.leaderIndex();
     world.kill(former);
--- a/tests/drivers/http/http_server_test.cpp
+++ b/tests/drivers/http/http_server_test.cpp
@@ -206,6 +206,7 @@
 TEST(HttpServer, ConnectionsAreKeptWhileNobodyWaits)
 {
     std::vector<std::unique_ptr<RawSocket>> clients;
+    clients.reserve(4);
     for (int i = 0; i < 4; ++i) {
         clients.push_back(connect());
     }
