--- a/core/protocol/jobs.cpp
+++ b/core/protocol/jobs.cpp
@@ -24,8 +24,6 @@
 constexpr std::size_t entryBytes = sizeof(JobEntry) + 1024;
 /// A task and its place in one of the job's sets.
 constexpr std::size_t openTaskBytes = sizeof(JobTask) + 48;
-/// The record holds the payload in hexadecimal digits, beside that of the entry.
-constexpr std::size_t payloadCopies = 3;
 
 std::size_t bytesOf(const JobOptions &options, const JobEntry &job)
 {
@@ -218,10 +216,11 @@
 
 std::size_t submittedJobBytes(const JobOptions &options, const Submission &submission)
 {
-    // Each task under way has a copy of the payload.
-    const std::size_t copies = std::min(submission.taskCount, options.maxUnderWay) + payloadCopies;
-    return entryBytes + submission.operatorName.size() + submission.id.size() + submission.team.size()
-        + submission.workload.size() + submission.payload.size() * copies + submission.taskCount * openTaskBytes;
+    // Each task under way has a copy of the payload beside those of the entry and of the record, which holds it in
+    // hexadecimal digits.
+    const std::size_t underWay = std::min(submission.taskCount, options.maxUnderWay);
+    return entryBytes + submittedBytes(submission) + submission.payload.size() * underWay
+        + submission.taskCount * openTaskBytes;
 }
 
 JobEntry &addJob(JobTable &table, const Submission &submission, const Now &now)
--- a/core/scheduler/job_events.cpp
+++ b/core/scheduler/job_events.cpp
@@ -63,19 +63,16 @@
 void submitJobAtHome(
     Scheduler &scheduler, const Submission &submission, const Waiter &waiter, const Now &now, Actions &actions)
 {
-    const std::string refusal = refusalOf(scheduler, submission);
+    std::string refusal = refusalOf(scheduler, submission);
+    if (refusal.empty() && !hasRoom(scheduler.jobs.memory, submittedJobBytes(scheduler.jobs.options, submission))) {
+        noteRefused(scheduler.jobs.memory, "jobs", "Jobs", now.monotonic, actions);
+        refusal = "jobs take too much memory here";
+    }
     if (!refusal.empty()) {
         ++scheduler.counters.jobsRefused;
         sendAnswer(waiter, makeRefusal(scheduler.requests.options, submission, refusal, now), actions);
         return;
     }
-    if (!hasRoom(scheduler.jobs.memory, submittedJobBytes(scheduler.jobs.options, submission))) {
-        ++scheduler.counters.jobsRefused;
-        noteRefused(scheduler.jobs.memory, "jobs", "Jobs", now.monotonic, actions);
-        sendAnswer(waiter, makeRefusal(scheduler.requests.options, submission, "jobs take too much memory here", now),
-            actions);
-        return;
-    }
     const RequestKey key = makeRequestKey(submission.operatorName, submission.id);
     JobEntry &job = addJob(scheduler.jobs, submission, now);
     joinJob(scheduler.jobs, key, job, waiter, actions);
