--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -77,7 +77,8 @@
 
 } // namespace
 
-HttpServerOptions checkServerOptions(std::string_view address, std::uint16_t port)
+HttpServerOptions checkServerOptions(
+    std::string_view address, std::uint16_t port, std::function<void(HttpLimit)> limitReached)
 {
     return {.address = std::string(address),
         .port = port,
@@ -86,7 +87,8 @@
         .minAgeToMakeRoom = checkMinAge,
         .freedPlacesShare = 1,
         .maxWaiting = checkMaxConnections,
-        .maxHeldBytes = checkMaxHeld};
+        .maxHeldBytes = checkMaxHeld,
+        .limitReached = std::move(limitReached)};
 }
 
 HttpServer::HttpServer(EventLoop &loop, HttpServerOptions options)
--- a/drivers/http/http_server.h
+++ b/drivers/http/http_server.h
@@ -81,7 +81,8 @@
 /// Options of a server for checks of load balancers and for collectors of metrics: a few clients at a time, whose
 /// requests are one packet. A VM is out of rotation after two checks, a second apart, without an answer, so while
 /// others wait, all connections that have not sent a request at once lose their places.
-HttpServerOptions checkServerOptions(std::string_view address, std::uint16_t port);
+HttpServerOptions checkServerOptions(
+    std::string_view address, std::uint16_t port, std::function<void(HttpLimit)> limitReached);
 
 /// HTTP server over evhttp on the given loop.
 class HttpServer
--- a/modules/cluster_metrics/cluster_metrics.cpp
+++ b/modules/cluster_metrics/cluster_metrics.cpp
@@ -134,9 +134,8 @@
     if (kernel.metrics.port == 0) {
         return;
     }
-    HttpServerOptions options = checkServerOptions(kernel.metrics.ip, kernel.metrics.port);
-    options.limitReached = limitCounter(kernel.metricsRegistry, "metrics");
-    server = std::make_unique<HttpServer>(kernel.loop, std::move(options));
+    server = std::make_unique<HttpServer>(kernel.loop,
+        checkServerOptions(kernel.metrics.ip, kernel.metrics.port, limitCounter(kernel.metricsRegistry, "metrics")));
     server->route("/metrics", [this](const HttpRequest &request) {
         const std::string text = metricsText(*this);
         server->reply(request.token, {.contentType = "text/plain; version=0.0.4", .body = text});
--- a/modules/metrics_http/register_types.cpp
+++ b/modules/metrics_http/register_types.cpp
@@ -16,20 +16,15 @@
 constexpr std::string_view logPart = "metrics_http";
 constexpr int statusServiceUnavailable = 503;
 
-HttpServerOptions pageOptions(const Kernel &kernel)
-{
-    HttpServerOptions options = checkServerOptions(kernel.settings.text("metrics_http.address"),
-        static_cast<std::uint16_t>(kernel.settings.integer("metrics_http.port")));
-    options.limitReached = limitCounter(kernel.metrics, "metrics");
-    return options;
-}
-
 /// Serves /metrics, /healthz and /readyz.
 struct MetricsPage
 {
     MetricsPage(Kernel &owner)
         : kernel(owner)
-        , server(owner.loop, pageOptions(owner))
+        , server(owner.loop,
+              checkServerOptions(owner.settings.text("metrics_http.address"),
+                  static_cast<std::uint16_t>(owner.settings.integer("metrics_http.port")),
+                  limitCounter(owner.metrics, "metrics")))
     {
         observed = kernel.signals.observed.connect(
             [this](const ObserveAction &observation) { observe(histograms, observation); });
