--- a/tests/process/untrusted_clients.py
+++ b/tests/process/untrusted_clients.py
@@ -2,6 +2,7 @@
 depends on how fast the machine is: a flood ends when it was taken whole or when nothing was taken for a while."""
 
 import os
+import resource
 import selectors
 import socket
 import struct
@@ -28,6 +29,12 @@
 SANITIZER_ENV = {"ASAN_OPTIONS": "quarantine_size_mb=1:malloc_context_size=4"}
 
 
+def raise_descriptor_limit():
+    """For the connections of a crowd."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, max(soft, 2048)), hard))
+
+
 def get(path, host="x"):
     return f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
 
--- a/tests/process/untrusted_daemon_test.py
+++ b/tests/process/untrusted_daemon_test.py
@@ -4,14 +4,13 @@
 import itertools
 import json
 import os
-import resource
 import sys
 import time
 
 from load import OPERATOR_HEADERS, request, wait_ready
 from cluster import CALLER_PORT, METRICS_PORT, OPERATOR_PORT, PEER_PORT, Cluster, http_call
 from untrusted_clients import (SANITIZER_ENV, answered, check_address, flooded, frame_patterns, get, http_patterns,
-                               post)
+                               post, raise_descriptor_limit)
 
 MEMORY_MB = 64
 MAX_FDS = 320
@@ -57,8 +56,7 @@
 def main():
     for name, value in SANITIZER_ENV.items():
         os.environ.setdefault(name, value)
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, max(soft, 2048)), hard))
+    raise_descriptor_limit()
     problems = []
     begun = time.monotonic()
     for port in [int(word) for word in sys.argv[2:]] or PATTERNS:
--- a/tests/process/untrusted_entry_test.py
+++ b/tests/process/untrusted_entry_test.py
@@ -4,7 +4,6 @@
 import json
 import os
 import random
-import resource
 import socket
 import subprocess
 import sys
@@ -13,7 +12,8 @@
 
 import load  # noqa: F401  (finds misc/cluster.py)
 from cluster import SANITIZER_MARKS
-from untrusted_clients import SANITIZER_ENV, answered, check_address, frame_patterns, http_patterns
+from untrusted_clients import (SANITIZER_ENV, answered, check_address, frame_patterns, http_patterns,
+                               raise_descriptor_limit)
 
 MEMORY_MB = 64
 MAX_FDS = 320
@@ -69,8 +69,7 @@
 
 
 def main():
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, max(soft, 2048)), hard))
+    raise_descriptor_limit()
     problems = []
     begun = time.monotonic()
     for name in sys.argv[2:] or PATTERNS:
--- a/tests/process/untrusted_leader.py
+++ b/tests/process/untrusted_leader.py
@@ -8,7 +8,6 @@
 import json
 import os
 import pathlib
-import resource
 import signal
 import sys
 import tempfile
@@ -17,7 +16,8 @@
 
 import load  # noqa: F401  (finds misc/cluster.py)
 from cluster import SANITIZER_MARKS
-from untrusted_clients import SANITIZER_ENV, STALL_S, Watch, answered, close, crowd, flood, sanitizer_bytes
+from untrusted_clients import (SANITIZER_ENV, STALL_S, Watch, answered, close, crowd, flood, raise_descriptor_limit,
+                               sanitizer_bytes)
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "soak"))
 from soak import ADDRESS, HOST, Soak, now  # noqa: E402
@@ -187,8 +187,7 @@
 def run(shapes, arguments):
     """`arguments`: the build folder, then names of shapes; all by default."""
     os.environ.update({key: os.environ.get(key, value) for key, value in SANITIZER_ENV.items()})
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, max(soft, 2048)), hard))
+    raise_descriptor_limit()
     problems = []
     begun = time.monotonic()
     for shape in shapes:
