--- a/review/13/case.py
+++ b/review/13/case.py
@@ -60,8 +60,7 @@
     async def judge(self):
         capacity = sum(worker.capacity["cpu"] for worker in self.workers)
         unfinished = []
-        for job in self.plain:
-            status, answer = await self.call("GET", f"/batch/{job}")
+        for job, (status, answer) in (await self.states("batch", list(self.plain))).items():
             if status == 410 or answer.get("state") in ("failed", "cancelled"):
                 self.fail(f"LOST: {job} was accepted and is shown as {status} {answer}")
             elif answer.get("state") != "done":
--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -14,6 +14,7 @@
 import shutil
 import signal
 import socket
+import subprocess
 import tempfile
 import time
 import tomllib
@@ -21,6 +22,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 VALUE_BYTES = 1048576
+# A script may run for 120 s.
+LONGEST_S = 112.0
 BOUNDS = {"seedLagS": 3, "addrReuseS": 2, "contactMs": 3000, "ackMs": 4000, "catchUpS": 4, "drainMs": 2000,
           "graceS": 6, "lossSlackMs": 200, "configApplyMs": 2000, "rollbackSlackMs": 250, "maxStretchMs": 5000,
           "recoveryS": 12, "holdMaxMs": 6000, "stopMs": 900, "gangTimeoutMs": 3000, "cancel_ms": 3000,
@@ -443,22 +446,28 @@
         settings = self.case.folder / f"{self.name}.json"
         settings.write_text(json.dumps(self.settings()))
         with open(self.log, "ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                str(ROOT / command[0]), *command[1:], cwd=ROOT, stdout=log, stderr=log,
+            # Not by asyncio: a start that is cancelled half-way would leave a process behind.
+            self.process = subprocess.Popen(
+                [str(ROOT / command[0]), *command[1:]], cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
                 env={"PATH": os.environ.get("PATH", ""), "HOME": str(self.case.folder), "LANG": "C",
                      "WIGEONKEEL_BOOT": str(settings)})
 
     def is_up(self):
-        return self.process is not None and self.process.returncode is None
+        return self.process is not None and self.process.poll() is None
+
+    async def end(self, number):
+        """Sends the signal and waits until the process is gone."""
+        if self.is_up():
+            self.signal(number)
+            while self.is_up():
+                await asyncio.sleep(0.01)
 
     def signal(self, number):
         if self.is_up():
             self.process.send_signal(number)
 
     async def kill(self):
-        if self.is_up():
-            self.signal(signal.SIGKILL)
-            await self.process.wait()
+        await self.end(signal.SIGKILL)
 
     def memory_mb(self):
         try:
@@ -580,23 +589,39 @@
             await asyncio.sleep(1.0 if status == 503 else 0.3)
         return False
 
+    async def states(self, queue, jobs):
+        """Status and answer of a GET for each of the jobs."""
+        limit = asyncio.Semaphore(8)
+
+        async def ask(job):
+            async with limit:
+                return await self.call("GET", f"/{queue}/{job}")
+        return dict(zip(jobs, await asyncio.gather(*(ask(job) for job in jobs))))
+
     async def play(self):
         raise NotImplementedError
 
     async def run(self):
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             await self.set_up()
-            await self.play()
+            await asyncio.wait_for(self.play(), LONGEST_S - (now() - self.began))
             result = 1 if self.broken else 0
         except CannotRun as error:
             self.note(f"could not run: {error}")
             result = 2
+        except Exception as error:
+            self.note(f"could not run: {error!r}")
+            result = 2
         finally:
+            # No task may start a daemon again after it was ended here.
+            for task in self.tasks:
+                task.cancel()
+            await asyncio.gather(*self.tasks, return_exceptions=True)
             for daemon in self.daemons:
                 daemon.signal(signal.SIGCONT)
                 await daemon.kill()
-            for task in self.tasks:
-                task.cancel()
             for worker in getattr(self, "workers", []):
                 worker.server.close()
             if hasattr(self, "store"):
@@ -616,5 +641,4 @@
 
 
 def main(case_type, folder):
-    case = case_type(folder)
-    raise SystemExit(asyncio.run(asyncio.wait_for(case.run(), 115)))
+    raise SystemExit(asyncio.run(case_type(folder).run()))
--- a/review/workers_3.py
+++ b/review/workers_3.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import json
+import os
 import sys
 import time
 
@@ -185,7 +186,8 @@
     def command():
         line = sys.stdin.readline()
         if not line:
-            loop.stop()
+            # The script has ended.
+            os._exit(0)
         State.crashing = line.strip() == "crash"
     loop.add_reader(sys.stdin, command)
     reported = 0.0
