placement: show how many steps a pass leaves out

Neither logs nor metrics told a job that was compared with all workers from one that no pass has examined. Adds counters of passes and of those that ended early, gauges of the steps that the last pass found, examined and found blocked, and one log line in 5 s about a pass that left steps out.

--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -11,6 +11,7 @@
 #include "core/dispatch/outbox.h"
 #include "core/dispatch/records.h"
 #include "core/dispatch/worker_table.h"
+#include "core/log_limit.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -133,6 +134,9 @@
     std::uint64_t placeWaits = 0;
     std::uint64_t placeWaitsNear = 0;
     std::uint64_t placeWaitsGivenUp = 0;
+    /// Passes of the placement, and those that ended before all steps were examined.
+    std::uint64_t placementPasses = 0;
+    std::uint64_t placementPassesEndedEarly = 0;
 };
 
 /// Waits for near places that the current pass of the placement has decided on.
@@ -142,6 +146,17 @@
     absl::flat_hash_map<std::string, std::size_t> waitersByRack;
 };
 
+/// What the last pass of the placement did with the steps whose tasks can start.
+struct PlacementSummary
+{
+    std::size_t ready = 0;
+    std::size_t examined = 0;
+    /// Examined, and found no room.
+    std::size_t blocked = 0;
+    /// Limits the log lines about passes that ended early.
+    LogLimit endedEarly;
+};
+
 /// Place of a step in the order in which steps are placed.
 struct PlacementPosition
 {
@@ -218,6 +233,7 @@
     /// The last step that a pass of the placement examined in turn; empty if the pass reached all steps.
     std::optional<PlacementPosition> placedUpTo;
     PlaceWaitPass placeWaits;
+    PlacementSummary placement;
     MonotonicTime nextSupervision{};
     /// When the runs of all workers were last checked.
     MonotonicTime supervisedAt{};
--- a/core/dispatch/placement/placement_pass.cpp
+++ b/core/dispatch/placement/placement_pass.cpp
@@ -6,6 +6,7 @@
 #include "core/dispatch/placement/single_placement.h"
 #include "core/dispatch/placement/worker_room.h"
 #include "core/dispatch/tenant_state.h"
+#include "core/log.h"
 
 #include <absl/container/flat_hash_set.h>
 
@@ -35,6 +36,8 @@
 /// The same for each step with tasks that can start: collecting and sorting them takes 0.6 us a step.
 constexpr std::chrono::microseconds timePerReadyStep{3};
 constexpr milliseconds minPassSpacing{3};
+constexpr std::string_view logPart = "placement";
+constexpr LogRate endedEarlyLogRate{.interval = std::chrono::seconds(5)};
 
 /// Starts the step's tasks that can start, and requests the advice that it lacks. Returns whether a single task found
 /// no room.
@@ -92,7 +95,8 @@
 struct PlacementPass
 {
     BlockedNeeds needs;
-    /// Number of examined steps that found no room.
+    /// Number of examined steps, and of those that found no room.
+    std::size_t examinedSteps = 0;
     std::size_t blocked = 0;
     /// Number of examined steps that wait for near places. They have room, so that they don't end the pass.
     std::size_t waitingNear = 0;
@@ -118,6 +122,7 @@
 
 void examineStep(Dispatcher &dispatcher, PlacementPass &pass, const ReadyStep &ready, MonotonicTime now)
 {
+    ++pass.examinedSteps;
     countPlaceWait(dispatcher, ready, now);
     pass.examined[ready.job->tenant] = true;
     // Such a step doesn't count as blocked: many of one tenant must not end the pass before the steps of others.
@@ -206,6 +211,22 @@
     dispatcher.placedUpTo = next < steps.size() ? std::optional(positionOf(steps[next - 1])) : std::nullopt;
 }
 
+void recordPass(Dispatcher &dispatcher, const PlacementPass &pass, std::span<const ReadyStep> steps, MonotonicTime now)
+{
+    PlacementSummary &summary = dispatcher.placement;
+    summary.ready = steps.size();
+    summary.examined = pass.examinedSteps;
+    summary.blocked = pass.blocked;
+    ++dispatcher.counters.placementPasses;
+    if (pass.examinedSteps < steps.size()) {
+        ++dispatcher.counters.placementPassesEndedEarly;
+        logLimited(summary.endedEarly, endedEarlyLogRate, now, LogLevel::Info, logPart,
+            "Pass ended before all steps were examined. ready={} examined={} blocked={} next_pass_in_ms={}",
+            steps.size(), pass.examinedSteps, pass.blocked,
+            std::chrono::floor<milliseconds>(dispatcher.nextPlacement - now).count());
+    }
+}
+
 } // namespace
 
 void placeTasks(Dispatcher &dispatcher, MonotonicTime now)
@@ -240,6 +261,7 @@
     const auto spacing = timePerExaminedWorker * static_cast<int>(withoutStart * dispatcher.workers.workers.size())
         + timePerReadyStep * static_cast<int>(steps.size());
     dispatcher.nextPlacement = now + std::max(minPassSpacing, std::chrono::ceil<milliseconds>(spacing));
+    recordPass(dispatcher, pass, steps, now);
     // Steps whose advice is prepared are examined again; their waits must not count as those of steps before them.
     dispatcher.placeWaits = {};
     const auto prepare = [&dispatcher, now](AdviceRequest &request) { return prepareAdvice(dispatcher, request, now); };
--- a/modules/cluster_metrics/cluster_metrics.cpp
+++ b/modules/cluster_metrics/cluster_metrics.cpp
@@ -27,7 +27,7 @@
     std::uint64_t DispatchCounters::*member;
 };
 
-constexpr std::array<CounterRow, 25> counterRows = {{{"accepted_jobs", &DispatchCounters::accepted},
+constexpr std::array<CounterRow, 27> counterRows = {{{"accepted_jobs", &DispatchCounters::accepted},
     {"refused_jobs", &DispatchCounters::rejected}, {"jobs_refused_by_memory", &DispatchCounters::rejectedByMemory},
     {"calls_unanswered_by_memory", &DispatchCounters::unansweredByMemory}, {"done_jobs", &DispatchCounters::jobsDone},
     {"failed_jobs", &DispatchCounters::jobsFailed}, {"cancelled_jobs", &DispatchCounters::jobsCancelled},
@@ -40,7 +40,9 @@
     {"commits", &DispatchCounters::commits}, {"ended_records_removed", &DispatchCounters::endsRemoved},
     {"withdrawn_jobs", &DispatchCounters::jobsWithdrawn}, {"place_waits", &DispatchCounters::placeWaits},
     {"place_waits_near", &DispatchCounters::placeWaitsNear},
-    {"place_waits_given_up", &DispatchCounters::placeWaitsGivenUp}}};
+    {"place_waits_given_up", &DispatchCounters::placeWaitsGivenUp},
+    {"placement_passes", &DispatchCounters::placementPasses},
+    {"placement_passes_ended_early", &DispatchCounters::placementPassesEndedEarly}}};
 
 constexpr std::array<const char *, durationKindCount> durationNames
     = {"acceptance", "first_start", "completion", "advice"};
@@ -93,6 +95,9 @@
     gauge("workers_known", dispatcher.workers.workers.size());
     gauge("commits_waiting", dispatcher.commits.waiting.size());
     gauge("advice_waiting", dispatcher.advisor.waiting.size());
+    gauge("ready_steps", dispatcher.placement.ready);
+    gauge("examined_steps", dispatcher.placement.examined);
+    gauge("blocked_steps", dispatcher.placement.blocked);
     families.push_back(workersBySpeed(dispatcher.workers));
 }
 
