placement: examine the remaining steps job by job

Cause: what a pass examines beyond the most urgent 60 blocked steps was counted in steps, 15 of them, and went round step by step. Work that can't start took its turns by its number: 8,192 steps of eight jobs had as many turns as 8,192 jobs. The log shows 'ready=8294 examined=75 blocked=75' and 14 passes a second, so that one round takes 39 s.

The remaining steps are now examined job by job, those first that have waited longest for it, until one step of each job finds no room. The bound is the number of comparisons with workers, 4,500 a pass, which is 15 steps at 300 workers as before and 562 at 8.

--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -230,8 +230,6 @@
     /// Something changed that may let a task start.
     bool placementDue = false;
     MonotonicTime nextPlacement{};
-    /// The last step that a pass of the placement examined in turn; empty if the pass reached all steps.
-    std::optional<PlacementPosition> placedUpTo;
     PlaceWaitPass placeWaits;
     PlacementSummary placement;
     MonotonicTime nextSupervision{};
--- a/core/dispatch/job_table.h
+++ b/core/dispatch/job_table.h
@@ -94,6 +94,8 @@
     std::vector<PlannedPlace> plan;
     MonotonicTime planUntil{};
     MonotonicTime notBefore{};
+    /// When a pass of the placement last examined the step.
+    MonotonicTime examinedAt{};
     SpeedSamples speeds;
     PlaceWaitState placeWait;
 };
@@ -135,6 +137,8 @@
     MonotonicTime submittedAt{};
     /// When this leader received the job.
     MonotonicTime arrivedAt{};
+    /// When a pass of the placement last examined a step of the job.
+    MonotonicTime examinedAt{};
     /// Since when the placement has seen nothing of the job running; empty while something runs, and for jobs without
     /// steps that may wait for near places.
     std::optional<MonotonicTime> idleSince;
--- a/core/dispatch/placement/placement_pass.cpp
+++ b/core/dispatch/placement/placement_pass.cpp
@@ -11,7 +11,6 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
-#include <iterator>
 #include <span>
 
 namespace wigeonkeel::dispatch
@@ -24,9 +23,11 @@
 constexpr std::size_t maxOpenOrders = 64;
 /// Each pass examines the most urgent steps until this many have found no room.
 constexpr std::size_t maxBlockedSteps = 60;
-/// While the workers are mostly idle, a pass also examines the remaining steps after the ones that the last pass
-/// examined, until this many more have found no room. Less urgent steps may fit where more urgent ones don't.
-constexpr std::size_t maxBlockedStepsInTurn = 15;
+/// While the workers are mostly idle, a pass also examines the remaining steps, job by job, until so many more have
+/// found no room that they were compared with this many workers. Less urgent steps may fit where more urgent ones
+/// don't. With 300 workers these are 15 steps.
+constexpr std::size_t maxComparisonsInTurn = 4500;
+constexpr std::size_t minBlockedStepsInTurn = 15;
 /// Up to this share of the processors in use, waiting jobs must start where they fit, by the platform's rules. Above
 /// it, room is left to the most urgent steps, which would otherwise find it taken by jobs that are very late.
 constexpr double mostlyIdleShare = 0.5;
@@ -123,6 +124,8 @@
 void examineStep(Dispatcher &dispatcher, PlacementPass &pass, const ReadyStep &ready, MonotonicTime now)
 {
     ++pass.examinedSteps;
+    ready.step->examinedAt = now;
+    ready.job->examinedAt = now;
     countPlaceWait(dispatcher, ready, now);
     pass.examined[ready.job->tenant] = true;
     // Such a step doesn't count as blocked: many of one tenant must not end the pass before the steps of others.
@@ -182,33 +185,70 @@
     return idle;
 }
 
-/// Examines the steps from `from` on until so many have found no room in this pass. Returns the first one that was not
-/// examined.
-std::size_t examineSteps(Dispatcher &dispatcher, PlacementPass &pass, std::span<const ReadyStep> steps,
-    std::size_t from, std::size_t maxBlocked, MonotonicTime now)
+/// Examines the most urgent steps until so many have found no room. Returns the others.
+std::span<const ReadyStep> examineMostUrgent(
+    Dispatcher &dispatcher, PlacementPass &pass, std::span<const ReadyStep> steps, MonotonicTime now)
 {
-    while (from < steps.size() && pass.blocked < maxBlocked) {
-        examineStep(dispatcher, pass, steps[from++], now);
+    std::size_t next = 0;
+    while (next < steps.size() && pass.blocked < maxBlockedSteps) {
+        examineStep(dispatcher, pass, steps[next++], now);
     }
-    return from;
+    return steps.subspan(next);
 }
 
-/// Examines some of these steps, beginning after the last one that the last pass examined, if their pools are mostly
-/// idle.
+/// The remaining steps of one job in a pass.
+struct JobTurn
+{
+    const Job *job = nullptr;
+    /// Those that have not been examined for the longest time come first.
+    std::vector<const ReadyStep *> steps;
+    std::size_t next = 0;
+};
+
+/// The jobs of the steps in these pools. Those that have not been examined for the longest time come first, and among
+/// equals the most urgent ones.
+std::vector<JobTurn> turnsOfJobs(
+    std::span<const ReadyStep> remaining, const absl::flat_hash_set<std::string_view> &pools)
+{
+    std::vector<JobTurn> turns;
+    absl::flat_hash_map<const Job *, std::size_t> positions;
+    for (const ReadyStep &ready : remaining) {
+        if (!pools.contains(ready.queue->pool)) {
+            continue;
+        }
+        const auto [position, isNew] = positions.try_emplace(ready.job, turns.size());
+        if (isNew) {
+            turns.push_back({.job = ready.job, .steps = {}});
+        }
+        turns[position->second].steps.push_back(&ready);
+    }
+    for (JobTurn &turn : turns) {
+        std::ranges::stable_sort(turn.steps, {}, [](const ReadyStep *ready) { return ready->step->examinedAt; });
+    }
+    std::ranges::stable_sort(turns, {}, [](const JobTurn &turn) { return turn.job->examinedAt; });
+    return turns;
+}
+
+/// Examines some of these steps if their pools are mostly idle. Each job in turn has steps examined until one finds no
+/// room, so that the number of steps of one job doesn't delay the others.
 void examineStepsInTurn(
     Dispatcher &dispatcher, PlacementPass &pass, std::span<const ReadyStep> remaining, MonotonicTime now)
 {
-    const auto idle = mostlyIdlePools(dispatcher, now);
-    std::vector<ReadyStep> steps;
-    std::ranges::copy_if(remaining, std::back_inserter(steps),
-        [&idle](const ReadyStep &ready) { return idle.contains(ready.queue->pool); });
-    std::size_t first = 0;
-    if (dispatcher.placedUpTo) {
-        const auto later = std::ranges::upper_bound(steps, *dispatcher.placedUpTo, {}, positionOf);
-        first = later == steps.end() ? 0 : static_cast<std::size_t>(later - steps.begin());
+    const std::size_t workers = std::max<std::size_t>(1, dispatcher.workers.workers.size());
+    const std::size_t maxBlocked = pass.blocked + std::max(minBlockedStepsInTurn, maxComparisonsInTurn / workers);
+    std::vector<JobTurn> turns = turnsOfJobs(remaining, mostlyIdlePools(dispatcher, now));
+    while (!turns.empty()) {
+        for (JobTurn &turn : turns) {
+            const std::size_t blocked = pass.blocked;
+            while (turn.next < turn.steps.size() && pass.blocked == blocked) {
+                examineStep(dispatcher, pass, *turn.steps[turn.next++], now);
+            }
+            if (pass.blocked >= maxBlocked) {
+                return;
+            }
+        }
+        std::erase_if(turns, [](const JobTurn &turn) { return turn.next == turn.steps.size(); });
     }
-    const std::size_t next = examineSteps(dispatcher, pass, steps, first, maxBlockedSteps + maxBlockedStepsInTurn, now);
-    dispatcher.placedUpTo = next < steps.size() ? std::optional(positionOf(steps[next - 1])) : std::nullopt;
 }
 
 void recordPass(Dispatcher &dispatcher, const PlacementPass &pass, std::span<const ReadyStep> steps, MonotonicTime now)
@@ -243,9 +283,9 @@
     dispatcher.placeWaits = {};
     const std::vector<bool> none(dispatcher.tenants.rows.size(), false);
     PlacementPass pass{.needs = {}, .heldByCap = none, .examined = none};
-    const std::size_t next = examineSteps(dispatcher, pass, steps, 0, maxBlockedSteps, now);
-    if (next < steps.size()) {
-        examineStepsInTurn(dispatcher, pass, std::span(steps).subspan(next), now);
+    const std::span<const ReadyStep> remaining = examineMostUrgent(dispatcher, pass, steps, now);
+    if (!remaining.empty()) {
+        examineStepsInTurn(dispatcher, pass, remaining, now);
     }
     // Without this, a tenant whose steps come after the end of some passes would change its state, with a log line, at
     // each of them.
