placement: compare the needs of gangs and of limited steps

Callers would see jobs wait beside idle workers of a large fleet: with 300 workers, a round over 2,000 urgent jobs whose gangs wait for one busy worker took more than 3 s, although all of them need the same.

Cause: needs that found no room excluded others of the pass only for single tasks without a limit for each worker. Gangs and limited steps were compared with all workers one by one, so that their number, not what they need, used up what a pass examines.

A need now includes the number of members and the limit for each worker. A gang is excluded by one with at most its members, its size and its limit, or by a single task of at most its size; a step by its own tasks on the workers says nothing about others. Jobs beyond their tenant's rate, which never pre-empt, no longer count as if they did.

--- a/core/dispatch/blocked_needs.cpp
+++ b/core/dispatch/blocked_needs.cpp
@@ -8,11 +8,20 @@
 namespace
 {
 
-/// Whether a task with this need finds no room if one with the need `blocked`, on the same workers, finds none.
+/// Whether no worker may take more members of `need` than of `blocked` if each member takes at least as much room.
+bool isLimitedAsMuch(const PlacementNeed &need, const PlacementNeed &blocked)
+{
+    // A single task finds no room where no worker has room for one task.
+    return blocked.members == 1 || blocked.maxPerWorker == 0
+        || (need.maxPerWorker != 0 && need.maxPerWorker <= blocked.maxPerWorker);
+}
+
+/// Whether what has this need finds no room if `blocked`, on the same workers, finds none.
 bool includes(const PlacementNeed &need, const PlacementNeed &blocked)
 {
     const bool preemptsNoMore = !need.canPreempt || (blocked.canPreempt && blocked.priority <= need.priority);
-    return preemptsNoMore && fits(blocked.size, need.size);
+    return preemptsNoMore && fits(blocked.size, need.size) && blocked.members <= need.members
+        && isLimitedAsMuch(need, blocked);
 }
 
 bool isBlockedOn(const BlockedNeeds &blocked, std::string_view label, const PlacementNeed &need)
--- a/core/dispatch/placement/gang_placement.cpp
+++ b/core/dispatch/placement/gang_placement.cpp
@@ -116,12 +116,12 @@
     return std::nullopt;
 }
 
-void placeWholeGang(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
+bool placeWholeGang(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
 {
     const bool hasUnknownRuns
         = std::ranges::any_of(ready.step->tasks, [](const Task &task) { return task.unknownRuns > 0; });
     if (ready.step->waiting != ready.step->tasks.size() || hasUnknownRuns) {
-        return;
+        return false;
     }
     if (!ready.step->plan.empty()) {
         if (!isPlanValid(dispatcher, ready, now)) {
@@ -133,19 +133,19 @@
             if (tickets && free) {
                 startPlan(dispatcher, ready, now);
             }
-            return;
+            return false;
         }
     }
     // The cap may have been lowered while the gang had reserved places.
     const auto members = static_cast<std::uint32_t>(ready.step->tasks.size());
     if (startsWithinCap(dispatcher, *ready.job, *ready.spec, members) < members) {
-        return;
+        return false;
     }
     const std::vector<Resources> room = roomOfWorkers(dispatcher);
     auto plan = placeGang(dispatcher, ready, room, GangSpeeds::Alike, now);
     const bool onOneRack = plan && isOnOneRack(dispatcher, *plan);
     if (plan && !onOneRack && waitsForRack(dispatcher, ready, room, now)) {
-        return;
+        return false;
     }
     updatePlaceWait(dispatcher, ready, {.gaveUp = plan && !onOneRack, .noRoom = !plan}, now);
     if (plan) {
@@ -153,25 +153,23 @@
         if (renewPlannedTickets(dispatcher, ready, now, now)) {
             startPlan(dispatcher, ready, now);
         }
-        return;
+        return false;
     }
     if (ready.step->adviceOpen) {
-        return;
+        return false;
     }
     // Without free room, pre-emption comes before further advice: each call takes about a second, and the room that it
     // finds is mostly taken before the reply.
     if (needsTicket(ready) && canAdviceFindRoom(dispatcher, ready, now)) {
         requestMoreAdvice(dispatcher, ready, now);
-        return;
+        return false;
     }
     // No run is stopped for workers of like speed.
     plan = placeGang(dispatcher, ready, roomAfterPreemption(dispatcher, ready, now), GangSpeeds::Any, now);
     if (plan && preemptForPlan(dispatcher, ready, *plan, now)) {
-        return;
-    }
-    if (needsTicket(ready)) {
-        requestMoreAdvice(dispatcher, ready, now);
+        return false;
     }
+    return !needsTicket(ready) || !requestMoreAdvice(dispatcher, ready, now);
 }
 
 } // namespace wigeonkeel::dispatch
--- a/core/dispatch/placement/gang_placement.h
+++ b/core/dispatch/placement/gang_placement.h
@@ -19,7 +19,8 @@
 std::optional<std::vector<PlannedPlace>> placeGang(const Dispatcher &dispatcher, const ReadyStep &ready,
     std::span<const Resources> room, GangSpeeds speeds, MonotonicTime now);
 
-/// Starts the gang if all of its members have a place, otherwise reserves places, requests advice or pre-empts.
-void placeWholeGang(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now);
+/// Starts the gang if all of its members have a place, otherwise reserves places, requests advice or pre-empts. Returns
+/// whether the members found no room, and none can be made by pre-emption.
+bool placeWholeGang(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now);
 
 } // namespace wigeonkeel::dispatch
--- a/core/dispatch/placement/placement_pass.cpp
+++ b/core/dispatch/placement/placement_pass.cpp
@@ -40,8 +40,8 @@
 constexpr std::string_view logPart = "placement";
 constexpr LogRate endedEarlyLogRate{.interval = std::chrono::seconds(5)};
 
-/// Starts the step's tasks that can start, and requests the advice that it lacks. Returns whether a single task found
-/// no room.
+/// Starts the step's tasks that can start, and requests the advice that it lacks. Returns whether a task, or the gang,
+/// found no room.
 bool placeStep(Dispatcher &dispatcher, const ReadyStep &ready, MonotonicTime now)
 {
     if (needsTicket(ready) && ready.step->allowed.empty()) {
@@ -49,8 +49,7 @@
         return false;
     }
     if (ready.spec->gang) {
-        placeWholeGang(dispatcher, ready, now);
-        return false;
+        return placeWholeGang(dispatcher, ready, now);
     }
     return placeSingles(dispatcher, ready, now);
 }
@@ -111,14 +110,22 @@
     return {.pool = ready.queue->pool,
         .label = ready.spec->requiredLabel,
         .size = chargedSize(*ready.spec),
+        .members = ready.spec->gang ? ready.spec->count : 1,
+        .maxPerWorker = ready.spec->maxPerWorker,
         .priority = ready.queue->priority,
-        .canPreempt = ready.rank < lateRank};
+        .canPreempt = ready.rank < lateRank && !ready.job->record.isExcess};
+}
+
+/// Whether the limit for each worker excludes workers because of the step's own tasks there.
+bool isRestrictedByOwnTasks(const ReadyStep &ready)
+{
+    return ready.spec->maxPerWorker != 0 && (!ready.step->plan.empty() || ready.step->waiting < ready.step->remaining);
 }
 
-/// Whether the step finds room if another one with the same need does: nothing but its need restricts its workers.
+/// Whether the step found no room because of its need alone, so that others with this need find none either.
 bool isNeedSufficient(const ReadyStep &ready)
 {
-    return !needsTicket(ready) && !ready.spec->gang && ready.spec->maxPerWorker == 0;
+    return !needsTicket(ready) && !isRestrictedByOwnTasks(ready);
 }
 
 void examineStep(Dispatcher &dispatcher, PlacementPass &pass, const ReadyStep &ready, MonotonicTime now)
@@ -143,8 +150,8 @@
     if (!canStart && !(needsTicket(ready) && ready.step->allowed.empty())) {
         return;
     }
-    const bool comparable = isNeedSufficient(ready);
-    if (comparable && ready.step->plan.empty() && isBlocked(pass.needs, needOf(ready))) {
+    // What restricts the step beyond its need only leaves it fewer workers. A step without tickets may need advice.
+    if (!needsTicket(ready) && ready.step->plan.empty() && isBlocked(pass.needs, needOf(ready))) {
         return;
     }
     const std::uint32_t waiting = ready.step->waiting;
@@ -156,7 +163,7 @@
     if (needsTicket(ready) && ready.step->allowed.empty()) {
         return;
     }
-    if (comparable && foundNoRoom) {
+    if (foundNoRoom && isNeedSufficient(ready)) {
         addBlocked(pass.needs, needOf(ready));
     }
     if (ready.step->placeWait.since && !foundNoRoom) {
