placement: leave out steps that no listed worker could hold

Callers would see jobs of a large fleet wait beside idle workers while many jobs exist that can't be done and differ in what they need: with 300 workers and 2,000 such gangs no plain job started within 3 s.

Cause: a step that finds no room now and one that no listed worker could hold if nothing ran there were the same to a pass. The second kind was examined again and again, although nothing but a change of the workers, the configuration or the step itself can make it start.

A step that finds no room is compared once with the capacity, pool and labels of the listed workers: those of a gang together, those of a limited step without the places of its own tasks. If they could not hold it, it is left out until a worker is listed or changes, the configuration changes, or a task of the step ends; others of the pass that need at least as much are marked without a comparison. Gauge unplaceable_steps, and a limited log line with the need.

ManyDifferentUnplaceableStepsDoNotDelayOthers failed before and passes. The other side: steps that wait for runs to end are examined in each pass, and those left out start in the first pass after a worker appears, is back or changes, their queue moves to another pool, or a task of theirs ends.

--- a/bench/placement_benchmark.cpp
+++ b/bench/placement_benchmark.cpp
@@ -34,6 +34,7 @@
         worker.entry.pool = "pool";
         worker.entry.incarnation = 1;
         worker.entry.capacity = capacity;
+        worker.entry.labels = {fmt::format("label{}", i % labelCount)};
         worker.recorded = true;
         worker.contacted = true;
         worker.used = {.cpuMilli = 15900, .memoryMib = 32000};
@@ -51,6 +52,9 @@
     if (needs == "labels") {
         step.requiredLabel = fmt::format("label{}", random() % labelCount);
     }
+    if (needs == "unplaceable") {
+        step.requiredLabel = "missing";
+    }
     if (needs == "gangs") {
         step.count = 8;
         step.gang = true;
@@ -125,7 +129,7 @@
 
 int main(int argc, char **argv)
 {
-    for (const std::string_view needs : {"alike", "sizes", "labels", "gangs"}) {
+    for (const std::string_view needs : {"alike", "sizes", "labels", "gangs", "unplaceable"}) {
         benchmark::RegisterBenchmark(
             fmt::format("pass/{}", needs).c_str(), [needs](benchmark::State &state) { benchPass(state, needs); })
             ->Arg(100)
--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -696,6 +696,7 @@
 void setConfiguration(Dispatcher &dispatcher, const Configuration &configuration)
 {
     dispatcher.configuration = configuration;
+    ++dispatcher.workers.capabilityVersion;
     configureTenants(dispatcher.tenants, tenantsOf(configuration));
     dispatcher.placementDue = true;
 }
--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -153,6 +153,10 @@
     std::size_t examined = 0;
     /// Examined, and found no room.
     std::size_t blocked = 0;
+    /// Left out, because no listed worker could hold them.
+    std::size_t unplaceable = 0;
+    /// Limits the log lines about steps that no listed worker can hold.
+    LogLimit unplaceableLines;
     /// Limits the log lines about passes that ended early.
     LogLimit endedEarly;
 };
--- a/core/dispatch/job_table.h
+++ b/core/dispatch/job_table.h
@@ -70,6 +70,18 @@
     bool isOver = false;
 };
 
+/// The state in which a step was found to be unplaceable: no listed worker could hold its next task, or all of them
+/// together its gang, even if nothing else ran there. It stays so until the state changes.
+struct UnplaceableState
+{
+    std::uint64_t capabilityVersion = 0;
+    /// The step's own tasks on the workers matter for its limit for each worker.
+    std::uint32_t waiting = 0;
+    std::uint32_t remaining = 0;
+
+    bool operator==(const UnplaceableState &) const = default;
+};
+
 /// A step of one occurrence.
 struct StepRun
 {
@@ -96,6 +108,7 @@
     MonotonicTime notBefore{};
     /// When a pass of the placement last examined the step.
     MonotonicTime examinedAt{};
+    std::optional<UnplaceableState> unplaceable;
     SpeedSamples speeds;
     PlaceWaitState placeWait;
 };
--- a/core/dispatch/placement/placement_pass.cpp
+++ b/core/dispatch/placement/placement_pass.cpp
@@ -4,6 +4,7 @@
 #include "core/dispatch/placement/gang_placement.h"
 #include "core/dispatch/placement/near_waits.h"
 #include "core/dispatch/placement/single_placement.h"
+#include "core/dispatch/placement/unplaceable_steps.h"
 #include "core/dispatch/placement/worker_room.h"
 #include "core/dispatch/tenant_state.h"
 #include "core/log.h"
@@ -36,9 +37,12 @@
 constexpr std::chrono::microseconds timePerExaminedWorker{2};
 /// The same for each step with tasks that can start: collecting and sorting them takes 0.6 us a step.
 constexpr std::chrono::microseconds timePerReadyStep{3};
+/// The same for each step that is left out, as no listed worker could hold it: passing over it takes 60 ns.
+constexpr std::chrono::nanoseconds timePerUnplaceableStep{300};
 constexpr milliseconds minPassSpacing{3};
 constexpr std::string_view logPart = "placement";
 constexpr LogRate endedEarlyLogRate{.interval = std::chrono::seconds(5)};
+constexpr LogRate unplaceableLogRate{.interval = std::chrono::seconds(1), .burst = 20};
 
 /// Starts the step's tasks that can start, and requests the advice that it lacks. Returns whether a task, or the gang,
 /// found no room.
@@ -73,7 +77,8 @@
         return false;
     }
     step->adviceOpen = false;
-    if (!hasReadyTasks(*step, now) || isHeldByCap(dispatcher, *job, job->record.spec.steps[request.step.step], *step)) {
+    if (!hasReadyTasks(*step, now) || isMarkedUnplaceable(dispatcher.workers, *step)
+        || isHeldByCap(dispatcher, *job, job->record.spec.steps[request.step.step], *step)) {
         return false;
     }
     ReadyStep ready = readyStepOf(dispatcher, *job, request.step, *step, now);
@@ -95,6 +100,8 @@
 struct PlacementPass
 {
     BlockedNeeds needs;
+    /// Needs that the listed workers could not hold if nothing ran there.
+    BlockedNeeds unplaceable;
     /// Number of examined steps, and of those that found no room.
     std::size_t examinedSteps = 0;
     std::size_t blocked = 0;
@@ -128,6 +135,34 @@
     return !needsTicket(ready) && !isRestrictedByOwnTasks(ready);
 }
 
+/// The need without what depends on other runs.
+PlacementNeed emptyFleetNeedOf(const ReadyStep &ready)
+{
+    PlacementNeed need = needOf(ready);
+    need.canPreempt = false;
+    return need;
+}
+
+/// Marks the step if the listed workers could not hold it. Returns whether it was marked.
+bool markIfUnplaceable(Dispatcher &dispatcher, PlacementPass &pass, const ReadyStep &ready, MonotonicTime now)
+{
+    // Planned places may be released without a change of the workers or the step.
+    if (!ready.step->plan.empty() || canWorkersHold(dispatcher.workers, ready)) {
+        return false;
+    }
+    markUnplaceable(dispatcher.workers, *ready.step);
+    if (!isRestrictedByOwnTasks(ready)) {
+        addBlocked(pass.unplaceable, emptyFleetNeedOf(ready));
+    }
+    const Resources size = chargedSize(*ready.spec);
+    logLimited(dispatcher.placement.unplaceableLines, unplaceableLogRate, now, LogLevel::Info, logPart,
+        "No listed worker can hold the step. step={} pool={} label={} size=\"{}\" gang_members={} max_per_worker={} "
+        "tasks_waiting={}",
+        formatStepKey(ready.key), ready.queue->pool, ready.spec->requiredLabel, describe(size),
+        ready.spec->gang ? ready.spec->count : 0, ready.spec->maxPerWorker, ready.step->waiting);
+    return true;
+}
+
 void examineStep(Dispatcher &dispatcher, PlacementPass &pass, const ReadyStep &ready, MonotonicTime now)
 {
     ++pass.examinedSteps;
@@ -143,6 +178,11 @@
     if (awaitsAdvice(dispatcher, ready, now)) {
         return;
     }
+    ready.step->unplaceable.reset();
+    if (ready.step->plan.empty() && isBlocked(pass.unplaceable, emptyFleetNeedOf(ready))) {
+        markUnplaceable(dispatcher.workers, *ready.step);
+        return;
+    }
     // Limits open orders, because the many starts of a backlog after an outage would delay all other work of the loop.
     // Replies to open orders make room for the next ones.
     const bool canStart = dispatcher.orders.size() < maxOpenOrders && hasRoom(dispatcher.outbox->link);
@@ -163,7 +203,7 @@
     if (needsTicket(ready) && ready.step->allowed.empty()) {
         return;
     }
-    if (foundNoRoom && isNeedSufficient(ready)) {
+    if (foundNoRoom && !markIfUnplaceable(dispatcher, pass, ready, now) && isNeedSufficient(ready)) {
         addBlocked(pass.needs, needOf(ready));
     }
     if (ready.step->placeWait.since && !foundNoRoom) {
@@ -268,8 +308,9 @@
     if (pass.examinedSteps < steps.size()) {
         ++dispatcher.counters.placementPassesEndedEarly;
         logLimited(summary.endedEarly, endedEarlyLogRate, now, LogLevel::Info, logPart,
-            "Pass ended before all steps were examined. ready={} examined={} blocked={} next_pass_in_ms={}",
-            steps.size(), pass.examinedSteps, pass.blocked,
+            "Pass ended before all steps were examined. ready={} examined={} blocked={} unplaceable={} "
+            "next_pass_in_ms={}",
+            steps.size(), pass.examinedSteps, pass.blocked, summary.unplaceable,
             std::chrono::floor<milliseconds>(dispatcher.nextPlacement - now).count());
     }
 }
@@ -306,7 +347,8 @@
     // A step that finds no room examines every worker. The time between passes limits them to a fifth of a core.
     const std::size_t withoutStart = pass.blocked + pass.waitingNear;
     const auto spacing = timePerExaminedWorker * static_cast<int>(withoutStart * dispatcher.workers.workers.size())
-        + timePerReadyStep * static_cast<int>(steps.size());
+        + timePerReadyStep * static_cast<int>(steps.size())
+        + timePerUnplaceableStep * static_cast<int>(dispatcher.placement.unplaceable);
     dispatcher.nextPlacement = now + std::max(minPassSpacing, std::chrono::ceil<milliseconds>(spacing));
     recordPass(dispatcher, pass, steps, now);
     // Steps whose advice is prepared are examined again; their waits must not count as those of steps before them.
--- a/core/dispatch/placement/step_order.cpp
+++ b/core/dispatch/placement/step_order.cpp
@@ -1,5 +1,6 @@
 #include "core/dispatch/placement/step_order.h"
 
+#include "core/dispatch/placement/unplaceable_steps.h"
 #include "core/dispatch/task_runs.h"
 #include "core/tenants/fair_share.h"
 
@@ -88,7 +89,9 @@
     for (Occurrence &occurrence : job.occurrences) {
         for (std::uint32_t number = 0; number < occurrence.steps.size(); ++number) {
             StepRun &step = occurrence.steps[number];
-            if (hasReadyTasks(step, now)) {
+            if (isMarkedUnplaceable(dispatcher.workers, step)) {
+                ++dispatcher.placement.unplaceable;
+            } else if (hasReadyTasks(step, now)) {
                 const StepKey key{.job = job.record.id, .occurrence = occurrence.number, .step = number};
                 ready.push_back(readyStepOf(dispatcher, job, key, step, now));
             }
@@ -121,6 +124,7 @@
 std::vector<ReadyStep> readySteps(Dispatcher &dispatcher, MonotonicTime now)
 {
     std::vector<ReadyStep> ready;
+    dispatcher.placement.unplaceable = 0;
     for (TenantState &tenant : dispatcher.tenants.rows) {
         tenant.waitingExcess = 0;
     }
--- a/core/dispatch/placement/worker_room.cpp
+++ b/core/dispatch/placement/worker_room.cpp
@@ -58,12 +58,17 @@
     return there >= ready.spec->maxPerWorker ? 0 : ready.spec->maxPerWorker - there;
 }
 
-bool isEligible(const ReadyStep &ready, const Worker &worker, MonotonicTime now)
+bool hasPoolAndLabel(const ReadyStep &ready, const Worker &worker)
 {
-    return canAcceptStarts(worker, now) && worker.entry.pool == ready.queue->pool
+    return worker.entry.pool == ready.queue->pool
         && (ready.spec->requiredLabel.empty() || hasLabel(worker, ready.spec->requiredLabel));
 }
 
+bool isEligible(const ReadyStep &ready, const Worker &worker, MonotonicTime now)
+{
+    return canAcceptStarts(worker, now) && hasPoolAndLabel(ready, worker);
+}
+
 std::uint32_t countFitting(const Resources &size, const Resources &room, std::uint32_t limit)
 {
     std::int64_t count = limit;
--- a/core/dispatch/placement/worker_room.h
+++ b/core/dispatch/placement/worker_room.h
@@ -23,6 +23,9 @@
 /// Number of further tasks of the step that may run on the worker by the step's own limit; UINT32_MAX without one.
 std::uint32_t remainingPerWorker(const ReadyStep &ready, WorkerSlot slot);
 
+/// Whether the worker is in the pool of the step's queue and has the label that the step requires.
+bool hasPoolAndLabel(const ReadyStep &ready, const Worker &worker);
+
 /// Whether tasks of the step may run on the worker, however much room it has now.
 bool isEligible(const ReadyStep &ready, const Worker &worker, MonotonicTime now);
 
--- a/core/dispatch/worker_events.cpp
+++ b/core/dispatch/worker_events.cpp
@@ -614,6 +614,12 @@
     }
 }
 
+/// Whether a worker can hold the same tasks with both entries.
+bool hasSameCapabilities(const WorkerEntry &left, const WorkerEntry &right)
+{
+    return left.pool == right.pool && left.labels == right.labels && left.capacity == right.capacity;
+}
+
 } // namespace
 
 void inheritWorkers(Dispatcher &dispatcher, std::span<const WorkerEntry> entries)
@@ -642,6 +648,9 @@
             continue;
         }
         changed = changed || !worker.listed || entry.incarnation != known;
+        if (!worker.listed || !hasSameCapabilities(worker.entry, entry)) {
+            ++dispatcher.workers.capabilityVersion;
+        }
         // A new incarnation may have another address, to which its orders have to go.
         worker.entry.endpoint = entry.endpoint;
         setIncarnation(dispatcher, slot, entry.incarnation, now);
--- a/core/dispatch/worker_table.h
+++ b/core/dispatch/worker_table.h
@@ -136,6 +136,9 @@
 {
     std::vector<Worker> workers;
     absl::flat_hash_map<std::string, WorkerSlot> byId;
+    /// Increases when listed workers may be able to hold tasks that none could hold before: one was listed, its pool,
+    /// labels or capacity changed, or a queue may have another pool.
+    std::uint64_t capabilityVersion = 1;
     SpeedLogLimit speedLog;
 };
 
--- a/modules/cluster_metrics/cluster_metrics.cpp
+++ b/modules/cluster_metrics/cluster_metrics.cpp
@@ -98,6 +98,7 @@
     gauge("ready_steps", dispatcher.placement.ready);
     gauge("examined_steps", dispatcher.placement.examined);
     gauge("blocked_steps", dispatcher.placement.blocked);
+    gauge("unplaceable_steps", dispatcher.placement.unplaceable);
     families.push_back(workersBySpeed(dispatcher.workers));
 }
 
--- a/tests/dispatch/placement_fleet_test.cpp
+++ b/tests/dispatch/placement_fleet_test.cpp
@@ -1,8 +1,12 @@
 #include "core/dispatch/blocked_needs.h"
 #include "core/dispatch/dispatcher.h"
-#include "core/dispatch/placement/step_order.h"
+#include "core/dispatch/task_runs.h"
 #include "tests/dispatch/dispatch_world.h"
 
+#include <array>
+#include <span>
+#include <vector>
+
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
 
@@ -72,16 +76,51 @@
         return (dispatcher.jobs.live[id] = std::move(job))->occurrences.front().steps.front();
     }
 
-    /// Time until the step starts, by passes as often as the placement asks for; the bound if it doesn't.
-    milliseconds timeUntilStart(const StepRun &step)
+    void runPasses(int count)
     {
-        const MonotonicTime begin = now;
-        while (step.waiting > 0 && now - begin < startBound) {
+        for (int i = 0; i < count; ++i) {
             placeTasks(dispatcher, now);
             dispatcher.orders.clear();
             outbox.actions.clear();
             now = dispatcher.nextPlacement;
         }
+    }
+
+    /// The workers as the directory lists them.
+    std::vector<WorkerEntry> entries() const
+    {
+        std::vector<WorkerEntry> entries;
+        for (const Worker &worker : dispatcher.workers.workers) {
+            entries.push_back(worker.entry);
+        }
+        return entries;
+    }
+
+    /// Applies a list of the directory; all workers accept starts.
+    void list(std::span<const WorkerEntry> entries)
+    {
+        updateWorkers(dispatcher, entries, now);
+        for (Worker &worker : dispatcher.workers.workers) {
+            worker.recorded = true;
+            worker.contacted = true;
+            worker.contactedToken = leaderToken;
+        }
+    }
+
+    void endRun(const TaskKey &key)
+    {
+        const TaskPlace place = findTask(dispatcher, key);
+        concludeRun(dispatcher, key, {.task = key, .attempt = place.task->attempt, .end = RunEnd::Done},
+            place.task->worker, {.monotonic = now, .wall = {}});
+    }
+
+    /// Time until the step starts, by passes as often as the placement asks for; the bound if it doesn't.
+    milliseconds timeUntilStart(const StepRun &step)
+    {
+        const MonotonicTime begin = now;
+        while (step.waiting > 0 && now - begin < startBound) {
+            runPasses(1);
+        }
         return std::chrono::floor<milliseconds>(std::min<MonotonicTime::duration>(now - begin, startBound));
     }
 
@@ -248,6 +287,151 @@
     CHECK_EQUAL(1, fleet.dispatcher.counters.preempted);
 }
 
+// Guards against many jobs that no listed worker could ever hold, none of which says anything about another one.
+TEST(DispatchPlacementFleet, ManyDifferentUnplaceableStepsDoNotDelayOthers)
+{
+    Fleet fleet(300);
+    for (JobId id = 1; id <= blockedJobs; ++id) {
+        StepSpec gang = gangOf(2, static_cast<std::int64_t>(id));
+        gang.size.memoryMib = static_cast<std::int64_t>(blockedJobs - id);
+        gang.requiredLabel = "missing";
+        fleet.addJob(id, gang, 0);
+    }
+    const StepRun &plain = fleet.addJob(plainJob, plainStep(), 1);
+    CHECK_COMPARE(fleet.timeUntilStart(plain).count(), <, startBound.count());
+}
+
+// Guards against steps that are examined in each pass although no listed worker could hold them.
+TEST(DispatchPlacementFleet, UnplaceableStepsAreLeftOutOfLaterPasses)
+{
+    Fleet fleet(4);
+    fleet.addJob(1, gangOf(17, 1000), 0);
+    fleet.addJob(2, gangOf(18, 1000), 0);
+    StepSpec labelled = plainStep();
+    labelled.requiredLabel = "missing";
+    fleet.addJob(3, labelled, 0);
+    fleet.addJob(4, limitedStep(5, 100), 0);
+    fleet.runPasses(3);
+    CHECK_EQUAL(0, fleet.dispatcher.placement.ready);
+    CHECK_EQUAL(4, fleet.dispatcher.placement.unplaceable);
+}
+
+// Guards against steps that are left out although workers could hold them once other runs have ended.
+TEST(DispatchPlacementFleet, StepsThatWaitForRunsToEndAreNotLeftOut)
+{
+    Fleet fleet(4);
+    for (Worker &worker : fleet.dispatcher.workers.workers) {
+        worker.used = capacity;
+    }
+    fleet.dispatcher.workers.workers.front().entry.labels = {"rare"};
+    StepSpec labelled = plainStep();
+    labelled.requiredLabel = "rare";
+    const std::array<const StepRun *, 4> steps
+        = {&fleet.addJob(1, labelled, 0), &fleet.addJob(2, limitedStep(4, 100), 0),
+            &fleet.addJob(3, gangOf(8, 1000), 0), &fleet.addJob(4, plainStep(), 1)};
+    fleet.runPasses(3);
+    CHECK_EQUAL(0, fleet.dispatcher.placement.unplaceable);
+    for (Worker &worker : fleet.dispatcher.workers.workers) {
+        worker.used = {};
+    }
+    fleet.runPasses(1);
+    for (const StepRun *step : steps) {
+        CHECK_EQUAL(0, step->waiting);
+    }
+}
+
+// Guards against steps that stay left out when a worker appears that can hold them.
+TEST(DispatchPlacementFleet, UnplaceableStepsStartOnceAWorkerCanHoldThem)
+{
+    Fleet fleet(4);
+    StepSpec labelled = plainStep();
+    labelled.requiredLabel = "rare";
+    const StepRun &single = fleet.addJob(1, labelled, 0);
+    const StepRun &gang = fleet.addJob(2, gangOf(17, 1000), 0);
+    const StepRun &large = fleet.addJob(3, stepOf(1, 2 * capacity.cpuMilli, longEstimate), 0);
+    const StepRun &limited = fleet.addJob(4, limitedStep(5, 1), 0);
+    fleet.runPasses(3);
+    CHECK_EQUAL(4, fleet.dispatcher.placement.unplaceable);
+    std::vector<WorkerEntry> entries = fleet.entries();
+    entries.push_back(entries.front());
+    entries.back().id = "w4";
+    entries.back().labels = {"rare"};
+    entries.back().capacity = {.cpuMilli = 8 * capacity.cpuMilli, .memoryMib = 8 * capacity.memoryMib};
+    fleet.list(entries);
+    fleet.runPasses(1);
+    CHECK_EQUAL(0, single.waiting);
+    CHECK_EQUAL(0, gang.waiting);
+    CHECK_EQUAL(0, large.waiting);
+    CHECK_EQUAL(0, limited.waiting);
+}
+
+// Guards against steps that stay left out when a worker that is listed already gets their label or a larger size.
+TEST(DispatchPlacementFleet, UnplaceableStepsStartOnceAWorkerHasChanged)
+{
+    Fleet fleet(4);
+    StepSpec labelled = plainStep();
+    labelled.requiredLabel = "rare";
+    const StepRun &single = fleet.addJob(1, labelled, 0);
+    const StepRun &large = fleet.addJob(2, stepOf(1, 2 * capacity.cpuMilli, longEstimate), 0);
+    fleet.runPasses(3);
+    CHECK_EQUAL(2, fleet.dispatcher.placement.unplaceable);
+    std::vector<WorkerEntry> entries = fleet.entries();
+    entries[1].labels = {"rare"};
+    fleet.list(entries);
+    fleet.runPasses(1);
+    CHECK_EQUAL(0, single.waiting);
+    CHECK_EQUAL(1, large.waiting);
+    entries[2].capacity.cpuMilli *= 2;
+    fleet.list(entries);
+    fleet.runPasses(1);
+    CHECK_EQUAL(0, large.waiting);
+}
+
+// Guards against steps that stay left out when the only worker that can hold them was away and is listed again.
+TEST(DispatchPlacementFleet, UnplaceableStepsStartOnceTheirWorkerIsBack)
+{
+    Fleet fleet(4);
+    fleet.dispatcher.workers.workers.front().entry.labels = {"rare"};
+    const std::vector<WorkerEntry> all = fleet.entries();
+    fleet.list(std::span(all).subspan(1));
+    StepSpec labelled = plainStep();
+    labelled.requiredLabel = "rare";
+    const StepRun &single = fleet.addJob(1, labelled, 0);
+    fleet.runPasses(3);
+    CHECK_EQUAL(1, fleet.dispatcher.placement.unplaceable);
+    fleet.list(all);
+    fleet.runPasses(1);
+    CHECK_EQUAL(0, single.waiting);
+}
+
+// Guards against steps that stay left out when the operator gives their queue a pool with workers.
+TEST(DispatchPlacementFleet, UnplaceableStepsStartOnceTheirQueueHasAnotherPool)
+{
+    Fleet fleet(4);
+    fleet.dispatcher.configuration.queues[1].pool = "empty";
+    const StepRun &step = fleet.addJob(1, plainStep(), 1);
+    fleet.runPasses(3);
+    CHECK_EQUAL(1, fleet.dispatcher.placement.unplaceable);
+    Configuration configuration = fleet.dispatcher.configuration;
+    configuration.queues[1].pool = "pool";
+    setConfiguration(fleet.dispatcher, configuration);
+    fleet.runPasses(1);
+    CHECK_EQUAL(0, step.waiting);
+}
+
+// Guards against a step that stays left out at its limit for each worker when one of its own tasks has ended.
+TEST(DispatchPlacementFleet, AStepAtItsLimitStartsOnceItsTaskHasEnded)
+{
+    Fleet fleet(4);
+    const StepRun &step = fleet.addJob(1, limitedStep(5, 100), 0);
+    fleet.runPasses(3);
+    CHECK_EQUAL(1, step.waiting);
+    CHECK_EQUAL(1, fleet.dispatcher.placement.unplaceable);
+    fleet.endRun({.step = {.job = 1}, .index = 2});
+    fleet.runPasses(1);
+    CHECK_EQUAL(0, step.waiting);
+}
+
 // Guards against a comparison of gangs by the size of their members alone.
 TEST(DispatchPlacementFleet, OnlyGangsThatNeedAtLeastAsMuchAreBlocked)
 {
