placement: request no advice for steps that no listed worker could hold

A gang larger than all workers, in a queue whose starts need the adviser's permission, asked for advice on them whenever its tickets had expired. Such calls take as long as others, and requests of jobs that could start wait behind them in the line, or for a channel.

Before a step without an allowance asks, it is compared with the listed workers, as steps without room are.

NoAdviceIsRequestedForUnplaceableSteps failed before (one request in the line) and passes; it also checks that a gang which the workers can just hold asks.

--- a/core/dispatch/placement/placement_pass.cpp
+++ b/core/dispatch/placement/placement_pass.cpp
@@ -183,6 +183,11 @@
         markUnplaceable(dispatcher.workers, *ready.step);
         return;
     }
+    // Advice for a step that can't start would delay the requests of others.
+    if (needsTicket(ready) && ready.step->allowed.empty() && markIfUnplaceable(dispatcher, pass, ready, now)) {
+        ++pass.blocked;
+        return;
+    }
     // Limits open orders, because the many starts of a backlog after an outage would delay all other work of the loop.
     // Replies to open orders make room for the next ones.
     const bool canStart = dispatcher.orders.size() < maxOpenOrders && hasRoom(dispatcher.outbox->link);
--- a/tests/dispatch/placement_fleet_test.cpp
+++ b/tests/dispatch/placement_fleet_test.cpp
@@ -432,6 +432,24 @@
     CHECK_EQUAL(0, step.waiting);
 }
 
+// Guards against advice requests for gangs that no worker could hold, which delay the requests of other jobs.
+TEST(DispatchPlacementFleet, NoAdviceIsRequestedForUnplaceableSteps)
+{
+    Fleet fleet(4);
+    fleet.dispatcher.configuration.queues[0].advice
+        = AdviceTimes{.base = milliseconds(50), .perWorker = milliseconds(1), .ticketValidity = milliseconds(1500)};
+    fleet.addJob(1, gangOf(17, 1000), 0);
+    StepSpec labelled = plainStep();
+    labelled.requiredLabel = "missing";
+    fleet.addJob(2, labelled, 0);
+    fleet.runPasses(3);
+    CHECK_EQUAL(0, fleet.dispatcher.advisor.waiting.size());
+    CHECK_EQUAL(2, fleet.dispatcher.placement.unplaceable);
+    fleet.addJob(3, gangOf(16, 1000), 0);
+    fleet.runPasses(1);
+    CHECK_EQUAL(1, fleet.dispatcher.advisor.waiting.size());
+}
+
 // Guards against a comparison of gangs by the size of their members alone.
 TEST(DispatchPlacementFleet, OnlyGangsThatNeedAtLeastAsMuchAreBlocked)
 {
