jobs: overdue occurrences leave a quarter of the memory to submissions

Callers got 503 'jobs take too much memory' beside idle workers while six timed jobs had overdue occurrences of gangs of 100 tasks that no worker could run: occurrences were opened until no room for jobs was left, and none of them ends.

Occurrences beside the first open one of a job are now opened only if a quarter of the limit stays free. They lose nothing: the job has one open, and the others are opened as it ends or as memory is released.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -39,6 +39,9 @@
 /// Most steps in the open occurrences of a timed job, unless one occurrence has more. The record of its progress names
 /// each of them and has to fit into a value of the store.
 constexpr std::size_t maxOpenSteps = 1024;
+/// One in so many bytes of the memory for jobs is left to submissions by the occurrences that a timed job has open
+/// beside its first one. They can wait for room, and submissions would be rejected.
+constexpr std::size_t submissionShare = 4;
 /// One in so many bytes of the memory for jobs may hold calls that wait for the records of ended jobs.
 constexpr std::size_t deferredShare = 4;
 
@@ -606,8 +609,9 @@
         return true;
     }
     const JobSpec &spec = job.record.spec;
+    const std::size_t bytes = occurrenceBytes(spec) + dispatcher.jobMemory.limit / submissionShare;
     return (job.occurrences.size() + 1) * spec.steps.size() <= maxOpenSteps
-        && findRoom(dispatcher.jobMemory, dispatcher.tenants, job.tenant, occurrenceBytes(spec)) == JobFit::Fits;
+        && findRoom(dispatcher.jobMemory, dispatcher.tenants, job.tenant, bytes) == JobFit::Fits;
 }
 
 void startOccurrences(Dispatcher &dispatcher, Now now)
--- a/tests/dispatch/job_memory_test.cpp
+++ b/tests/dispatch/job_memory_test.cpp
@@ -200,6 +200,31 @@
     checkNoViolations(world);
 }
 
+// Guards against overdue occurrences of jobs that can't start: they took all the memory for jobs, and jobs of other
+// clients were rejected beside idle workers.
+TEST(DispatchJobMemory, OverdueOccurrencesLeaveRoomForOtherJobs)
+{
+    constexpr JobId firstTimedJob = 1000;
+    SmallWorld world;
+    world.run(settleTime);
+    JobSpec spec = jobOf(1, 100, longWork);
+    spec.steps[0].gang = true;
+    spec.steps[0].requiredLabel = "missing";
+    spec.repeatCount = 8760;
+    spec.interval = std::chrono::hours(1);
+    spec.firstDue = world.now().wall - std::chrono::hours(8760);
+    for (JobId id = firstTimedJob; id < firstTimedJob + 6; ++id) {
+        world.submit(world.leaderIndex(), id, spec, "urgent");
+    }
+    world.run(settleTime);
+    CHECK_EQUAL(burst, world.submitAll(1, jobOf(1, 1, milliseconds(10)))[ClientOutcome::Ok]);
+    // Each timed job keeps an occurrence, however little room there is.
+    for (JobId id = firstTimedJob; id < firstTimedJob + 6; ++id) {
+        CHECK_TRUE(!findJob(world.leader()->dispatcher->jobs, id)->occurrences.empty());
+    }
+    checkNoViolations(world);
+}
+
 // Guards against cancellations of unknown jobs that fill the memory with withdrawn ids.
 TEST(DispatchJobMemory, WithdrawnIdsAreBounded)
 {
