--- a/core/dispatch/placement/placement_pass.cpp
+++ b/core/dispatch/placement/placement_pass.cpp
@@ -2,6 +2,7 @@
 #include "core/dispatch/dispatcher.h"
 #include "core/dispatch/placement/advice_requests.h"
 #include "core/dispatch/placement/gang_placement.h"
+#include "core/dispatch/placement/job_turns.h"
 #include "core/dispatch/placement/near_waits.h"
 #include "core/dispatch/placement/single_placement.h"
 #include "core/dispatch/placement/unplaceable_steps.h"
@@ -163,6 +164,22 @@
     return true;
 }
 
+/// Whether it can be told before an attempt to place the step that the listed workers could not hold it; marks it then.
+bool isFoundUnplaceable(Dispatcher &dispatcher, PlacementPass &pass, const ReadyStep &ready, MonotonicTime now)
+{
+    ready.step->unplaceable.reset();
+    if (ready.step->plan.empty() && isBlocked(pass.unplaceable, emptyFleetNeedOf(ready))) {
+        markUnplaceable(dispatcher.workers, *ready.step);
+        return true;
+    }
+    // Advice for a step that can't start would delay the requests of others.
+    if (needsTicket(ready) && ready.step->allowed.empty() && markIfUnplaceable(dispatcher, pass, ready, now)) {
+        ++pass.blocked;
+        return true;
+    }
+    return false;
+}
+
 void examineStep(Dispatcher &dispatcher, PlacementPass &pass, const ReadyStep &ready, MonotonicTime now)
 {
     ++pass.examinedSteps;
@@ -178,14 +195,7 @@
     if (awaitsAdvice(dispatcher, ready, now)) {
         return;
     }
-    ready.step->unplaceable.reset();
-    if (ready.step->plan.empty() && isBlocked(pass.unplaceable, emptyFleetNeedOf(ready))) {
-        markUnplaceable(dispatcher.workers, *ready.step);
-        return;
-    }
-    // Advice for a step that can't start would delay the requests of others.
-    if (needsTicket(ready) && ready.step->allowed.empty() && markIfUnplaceable(dispatcher, pass, ready, now)) {
-        ++pass.blocked;
+    if (isFoundUnplaceable(dispatcher, pass, ready, now)) {
         return;
     }
     // Limits open orders, because the many starts of a backlog after an outage would delay all other work of the loop.
@@ -248,39 +258,6 @@
     return steps.subspan(next);
 }
 
-/// The remaining steps of one job in a pass.
-struct JobTurn
-{
-    const Job *job = nullptr;
-    /// Those that have not been examined for the longest time come first.
-    std::vector<const ReadyStep *> steps;
-    std::size_t next = 0;
-};
-
-/// The jobs of the steps in these pools. Those that have not been examined for the longest time come first, and among
-/// equals the most urgent ones.
-std::vector<JobTurn> turnsOfJobs(
-    std::span<const ReadyStep> remaining, const absl::flat_hash_set<std::string_view> &pools)
-{
-    std::vector<JobTurn> turns;
-    absl::flat_hash_map<const Job *, std::size_t> positions;
-    for (const ReadyStep &ready : remaining) {
-        if (!pools.contains(ready.queue->pool)) {
-            continue;
-        }
-        const auto [position, isNew] = positions.try_emplace(ready.job, turns.size());
-        if (isNew) {
-            turns.push_back({.job = ready.job, .steps = {}});
-        }
-        turns[position->second].steps.push_back(&ready);
-    }
-    for (JobTurn &turn : turns) {
-        std::ranges::stable_sort(turn.steps, {}, [](const ReadyStep *ready) { return ready->step->examinedAt; });
-    }
-    std::ranges::stable_sort(turns, {}, [](const JobTurn &turn) { return turn.job->examinedAt; });
-    return turns;
-}
-
 /// Examines some of these steps if their pools are mostly idle. Each job in turn has steps examined until one finds no
 /// room, so that the number of steps of one job doesn't delay the others.
 void examineStepsInTurn(
