--- a/tests/dispatch/placement_fleet_test.cpp
+++ b/tests/dispatch/placement_fleet_test.cpp
@@ -165,6 +165,20 @@
     CHECK_COMPARE(fleet.timeUntilStart(plain).count(), <, startBound.count());
 }
 
+/// Checks the same beside gangs that need this label and differ in size, so that none needs at least as much as
+/// another.
+void checkThatAPlainJobStartsBesideIncomparableGangs(Fleet &fleet, const std::string &label)
+{
+    for (JobId id = 1; id <= blockedJobs; ++id) {
+        StepSpec gang = gangOf(2, static_cast<std::int64_t>(id));
+        gang.size.memoryMib = static_cast<std::int64_t>(blockedJobs - id);
+        gang.requiredLabel = label;
+        fleet.addJob(id, gang, 0);
+    }
+    const StepRun &plain = fleet.addJob(plainJob, plainStep(), 1);
+    CHECK_COMPARE(fleet.timeUntilStart(plain).count(), <, startBound.count());
+}
+
 PlacementNeed gangNeed(std::uint32_t members, std::int64_t cpuMilli, std::uint32_t maxPerWorker = 0)
 {
     return {.pool = "pool",
@@ -291,14 +305,15 @@
 TEST(DispatchPlacementFleet, ManyDifferentUnplaceableStepsDoNotDelayOthers)
 {
     Fleet fleet(300);
-    for (JobId id = 1; id <= blockedJobs; ++id) {
-        StepSpec gang = gangOf(2, static_cast<std::int64_t>(id));
-        gang.size.memoryMib = static_cast<std::int64_t>(blockedJobs - id);
-        gang.requiredLabel = "missing";
-        fleet.addJob(id, gang, 0);
-    }
-    const StepRun &plain = fleet.addJob(plainJob, plainStep(), 1);
-    CHECK_COMPARE(fleet.timeUntilStart(plain).count(), <, startBound.count());
+    checkThatAPlainJobStartsBesideIncomparableGangs(fleet, "missing");
+}
+
+// The same with gangs that a busy worker could hold. Known to fail (KNOWN-RED.txt).
+IGNORE_TEST(DispatchPlacementFleet, ManyDifferentStepsThatWaitForABusyWorkerDoNotDelayOthers)
+{
+    Fleet fleet(300);
+    fleet.addFullWorker("rare");
+    checkThatAPlainJobStartsBesideIncomparableGangs(fleet, "rare");
 }
 
 // Guards against steps that are examined in each pass although no listed worker could hold them.
