jobs: hold back only occurrences that no listed worker could hold

Occurrences that could start on idle workers waited while jobs took more than three quarters of the memory, or of what their tenant may use: the bound that keeps overdue occurrences from filling the memory asked for free room, not whether the occurrence can start.

A further occurrence is now held back only beside one of which nothing has started and whose first step no listed worker could hold.

OverdueOccurrencesOpenOnceAWorkerCanHoldThem (1,024 open before) and AnOccurrenceThatCanStartIsOpenedBesideJobsThatTakeMostOfTheMemory (1 of 2 open before) failed and pass; OverdueOccurrencesLeaveRoomForOtherJobs holds.

--- a/core/dispatch/dispatcher.cpp
+++ b/core/dispatch/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/dispatcher.h"
 
 #include "core/dispatch/client_access.h"
+#include "core/dispatch/placement/unplaceable_steps.h"
 #include "core/dispatch/records.h"
 #include "core/dispatch/task_runs.h"
 #include "core/dispatch/tenant_state.h"
@@ -39,9 +40,6 @@
 /// Most steps in the open occurrences of a timed job, unless one occurrence has more. The record of its progress names
 /// each of them and has to fit into a value of the store.
 constexpr std::size_t maxOpenSteps = 1024;
-/// One in so many bytes of the memory for jobs is left to submissions by the occurrences that a timed job has open
-/// beside its first one. They can wait for room, and submissions would be rejected.
-constexpr std::size_t submissionShare = 4;
 /// One in so many bytes of the memory for jobs may hold calls that wait for the records of ended jobs.
 constexpr std::size_t deferredShare = 4;
 
@@ -601,17 +599,31 @@
     }
 }
 
+/// Whether no listed worker could hold the first step of the job's newest occurrence, of which nothing has started.
+bool isNewestOccurrenceUnplaceable(const Dispatcher &dispatcher, Job &job, MonotonicTime now)
+{
+    Occurrence &newest = job.occurrences.back();
+    StepRun &first = newest.steps.front();
+    if (first.waiting < first.tasks.size() || !first.plan.empty()) {
+        return false;
+    }
+    const StepKey key{.job = job.record.id, .occurrence = newest.number, .step = 0};
+    return isMarkedUnplaceable(dispatcher.workers, first)
+        || !canWorkersHold(dispatcher.workers, readyStepOf(dispatcher, job, key, first, now));
+}
+
 /// Whether a further occurrence may be open beside the others of the job; one always may. Jobs that are overdue by many
 /// occurrences work them off in turn.
-bool hasOccurrenceRoom(const Dispatcher &dispatcher, const Job &job)
+bool canOpenOccurrence(const Dispatcher &dispatcher, Job &job, MonotonicTime now)
 {
     if (job.occurrences.empty()) {
         return true;
     }
     const JobSpec &spec = job.record.spec;
-    const std::size_t bytes = occurrenceBytes(spec) + dispatcher.jobMemory.limit / submissionShare;
+    // Occurrences that can't start would only take memory from jobs that can.
     return (job.occurrences.size() + 1) * spec.steps.size() <= maxOpenSteps
-        && findRoom(dispatcher.jobMemory, dispatcher.tenants, job.tenant, bytes) == JobFit::Fits;
+        && findRoom(dispatcher.jobMemory, dispatcher.tenants, job.tenant, occurrenceBytes(spec)) == JobFit::Fits
+        && !isNewestOccurrenceUnplaceable(dispatcher, job, now);
 }
 
 void startOccurrences(Dispatcher &dispatcher, Now now)
@@ -620,7 +632,8 @@
         const JobSpec &spec = job->record.spec;
         const std::uint32_t known = job->nextOccurrence;
         while (spec.repeatCount > job->nextOccurrence && !isEnded(job->state)
-            && spec.firstDue + spec.interval * job->nextOccurrence <= now.wall && hasOccurrenceRoom(dispatcher, *job)) {
+            && spec.firstDue + spec.interval * job->nextOccurrence <= now.wall
+            && canOpenOccurrence(dispatcher, *job, now.monotonic)) {
             addOccurrences(*job, job->nextOccurrence);
             updateCharge(dispatcher.jobMemory, dispatcher.tenants, *job);
         }
--- a/tests/dispatch/job_memory_test.cpp
+++ b/tests/dispatch/job_memory_test.cpp
@@ -225,6 +225,27 @@
     checkNoViolations(world);
 }
 
+// Guards against occurrences that wait, beside idle workers, because jobs that can't start take most of the memory.
+TEST(DispatchJobMemory, AnOccurrenceThatCanStartIsOpenedBesideJobsThatTakeMostOfTheMemory)
+{
+    constexpr JobId timedJob = 1000;
+    SmallWorld world;
+    world.run(settleTime);
+    JobSpec timed = jobOf(1, 1, longWork);
+    timed.repeatCount = 2;
+    timed.interval = milliseconds(10000);
+    timed.firstDue = world.now().wall;
+    world.submit(world.leaderIndex(), timedJob, timed, "urgent");
+    JobSpec waiting = jobOf(1, 1000, longWork);
+    waiting.steps[0].requiredLabel = "missing";
+    CHECK_TRUE(world.submitAll(1, waiting).contains(ClientOutcome::Refused));
+    world.run(timed.interval);
+    const Job *job = findJob(world.leader()->dispatcher->jobs, timedJob);
+    CHECK_EQUAL(2, job->occurrences.size());
+    CHECK_EQUAL(0, job->occurrences.back().steps.front().waiting);
+    checkNoViolations(world);
+}
+
 // Guards against cancellations of unknown jobs that fill the memory with withdrawn ids.
 TEST(DispatchJobMemory, WithdrawnIdsAreBounded)
 {
--- a/tests/dispatch/unplaceable_steps_test.cpp
+++ b/tests/dispatch/unplaceable_steps_test.cpp
@@ -62,6 +62,11 @@
     });
 }
 
+std::size_t openOccurrences(World &world, JobId job)
+{
+    return findJob(world.leader()->dispatcher->jobs, job)->occurrences.size();
+}
+
 /// Idle workers, jobs of an urgent queue with steps that can't start, and jobs of another queue that can.
 struct UnplaceableSteps
 {
@@ -179,3 +184,31 @@
     steps.submitOverdueJobs(withIncomparableSizes(single));
     steps.checkThatPlainJobsStart();
 }
+
+// Guards against overdue occurrences that take memory beside one that no worker could hold, and against those that stay
+// closed when a worker can hold them.
+TEST(DispatchUnplaceableSteps, OverdueOccurrencesOpenOnceAWorkerCanHoldThem)
+{
+    UnplaceableSteps steps;
+    StepSpec gang = longStep(2, 100);
+    gang.gang = true;
+    gang.requiredLabel = "rare";
+    steps.submitOverdueJobs({gang});
+    steps.world.run(startBound);
+    CHECK_EQUAL(1, openOccurrences(steps.world, firstOverdueJob));
+    steps.world.workers[0].entry.labels = {"rare"};
+    steps.world.run(startBound);
+    CHECK(steps.startedAt.contains(firstOverdueJob));
+    CHECK(openOccurrences(steps.world, firstOverdueJob) > 1);
+}
+
+// Guards against overdue occurrences that are held back although a worker could hold them once its runs have ended.
+TEST(DispatchUnplaceableSteps, OverdueOccurrencesThatWaitForABusyWorkerAreOpened)
+{
+    UnplaceableSteps steps;
+    const StepSpec whole = longStep(1, steps.world.workers[0].entry.capacity.cpuMilli);
+    steps.submitOverdueJobs({whole});
+    for (JobId job = firstOverdueJob; job < firstOverdueJob + overdueJobs; ++job) {
+        CHECK(openOccurrences(steps.world, job) > 1);
+    }
+}
