placement: keep the order of steps to its file, and say members of a gang once

No change of behaviour. PlacementPosition and positionOf() have no user outside step_order.cpp since turns go by job; a turn's job is that of its steps; the number of tasks that are placed together was written three times, with findCapProblem(). isFoundUnplaceable() marks the step and is named so.

--- a/core/dispatch/dispatcher.h
+++ b/core/dispatch/dispatcher.h
@@ -161,22 +161,6 @@
     LogLimit endedEarly;
 };
 
-/// Place of a step in the order in which steps are placed.
-struct PlacementPosition
-{
-    /// Steps within their tenant's rate are placed first,
-    bool isExcess = false;
-    /// then those with a lower rank,
-    int rank = 0;
-    /// then those of tenants below their fair share, which matters only while the workers are full.
-    bool isAboveShare = false;
-    MonotonicTime dueBy{};
-    StepKey key;
-
-    // clang-tidy 14 mistakes the 0 in the generated comparison for a null pointer.
-    auto operator<=>(const PlacementPosition &) const = default; // NOLINT(modernize-use-nullptr)
-};
-
 /// The leader's state: all jobs, all workers, and the open orders. Only the daemon that holds the claim has one.
 struct Dispatcher
 {
--- a/core/dispatch/job_spec.h
+++ b/core/dispatch/job_spec.h
@@ -117,6 +117,12 @@
 /// Describes the first error of the specification; empty if it is valid.
 std::string findSpecProblem(const JobSpec &spec);
 
+/// Tasks of the step that must find room at the same time: the members of a gang, or 1.
+inline std::uint32_t tasksPlacedTogether(const StepSpec &step)
+{
+    return step.gang ? step.count : 1;
+}
+
 /// The resources that a task is charged for on its worker.
 inline Resources chargedSize(const StepSpec &step)
 {
--- a/core/dispatch/placement/job_turns.cpp
+++ b/core/dispatch/placement/job_turns.cpp
@@ -17,14 +17,14 @@
         }
         const auto [position, isNew] = positions.try_emplace(ready.job, turns.size());
         if (isNew) {
-            turns.push_back({.job = ready.job, .steps = {}});
+            turns.emplace_back();
         }
         turns[position->second].steps.push_back(&ready);
     }
     for (JobTurn &turn : turns) {
         std::ranges::stable_sort(turn.steps, {}, [](const ReadyStep *ready) { return ready->step->examinedAt; });
     }
-    std::ranges::stable_sort(turns, {}, [](const JobTurn &turn) { return turn.job->examinedAt; });
+    std::ranges::stable_sort(turns, {}, [](const JobTurn &turn) { return turn.steps.front()->job->examinedAt; });
     return turns;
 }
 
--- a/core/dispatch/placement/job_turns.h
+++ b/core/dispatch/placement/job_turns.h
@@ -15,8 +15,7 @@
 /// Steps of one job that a pass of the placement examines when it is the job's turn.
 struct JobTurn
 {
-    const Job *job = nullptr;
-    /// Those that have not been examined for the longest time come first.
+    /// At least one. Those that have not been examined for the longest time come first.
     std::vector<const ReadyStep *> steps;
     /// Position of the first step that the pass has not examined.
     std::size_t next = 0;
--- a/core/dispatch/placement/placement_pass.cpp
+++ b/core/dispatch/placement/placement_pass.cpp
@@ -118,7 +118,7 @@
     return {.pool = ready.queue->pool,
         .label = ready.spec->requiredLabel,
         .size = chargedSize(*ready.spec),
-        .members = ready.spec->gang ? ready.spec->count : 1,
+        .members = tasksPlacedTogether(*ready.spec),
         .maxPerWorker = ready.spec->maxPerWorker,
         .priority = ready.queue->priority,
         .canPreempt = ready.rank < lateRank && !ready.job->record.isExcess};
@@ -164,9 +164,11 @@
     return true;
 }
 
-/// Whether it can be told before an attempt to place the step that the listed workers could not hold it; marks it then.
-bool isFoundUnplaceable(Dispatcher &dispatcher, PlacementPass &pass, const ReadyStep &ready, MonotonicTime now)
+/// Marks the step if it is known before an attempt to place it that the listed workers could not hold it. Returns
+/// whether it was marked.
+bool markIfKnownUnplaceable(Dispatcher &dispatcher, PlacementPass &pass, const ReadyStep &ready, MonotonicTime now)
 {
+    // The step may be in the state of an earlier mark again, with its tasks on other workers.
     ready.step->unplaceable.reset();
     if (ready.step->plan.empty() && isBlocked(pass.unplaceable, emptyFleetNeedOf(ready))) {
         markUnplaceable(dispatcher.workers, *ready.step);
@@ -195,7 +197,7 @@
     if (awaitsAdvice(dispatcher, ready, now)) {
         return;
     }
-    if (isFoundUnplaceable(dispatcher, pass, ready, now)) {
+    if (markIfKnownUnplaceable(dispatcher, pass, ready, now)) {
         return;
     }
     // Limits open orders, because the many starts of a backlog after an outage would delay all other work of the loop.
--- a/core/dispatch/placement/step_order.cpp
+++ b/core/dispatch/placement/step_order.cpp
@@ -72,6 +72,25 @@
         .estimate = remainingPathEstimate(ready.job->record.spec, ready.key.step)});
 }
 
+namespace
+{
+
+/// Place of a step in the order in which steps are placed.
+struct PlacementPosition
+{
+    /// Steps within their tenant's rate are placed first,
+    bool isExcess = false;
+    /// then those with a lower rank,
+    int rank = 0;
+    /// then those of tenants below their fair share, which matters only while the workers are full.
+    bool isAboveShare = false;
+    MonotonicTime dueBy{};
+    StepKey key;
+
+    // clang-tidy 14 mistakes the 0 in the generated comparison for a null pointer.
+    auto operator<=>(const PlacementPosition &) const = default; // NOLINT(modernize-use-nullptr)
+};
+
 PlacementPosition positionOf(const ReadyStep &ready)
 {
     return {.isExcess = ready.job->record.isExcess,
@@ -81,9 +100,6 @@
         .key = ready.key};
 }
 
-namespace
-{
-
 void addReadySteps(Dispatcher &dispatcher, Job &job, MonotonicTime now, std::vector<ReadyStep> &ready)
 {
     for (Occurrence &occurrence : job.occurrences) {
--- a/core/dispatch/placement/step_order.h
+++ b/core/dispatch/placement/step_order.h
@@ -37,9 +37,6 @@
 /// Whether the step's tasks prefer faster or slower workers.
 SpeedPreference speedPreferenceOf(const ReadyStep &ready, MonotonicTime now);
 
-/// Place of the step in the order of placement.
-PlacementPosition positionOf(const ReadyStep &ready);
-
 /// All steps with tasks that may start now, in the order of placement. Leaves out and counts those that are marked as
 /// unplaceable.
 std::vector<ReadyStep> readySteps(Dispatcher &dispatcher, MonotonicTime now);
--- a/core/dispatch/placement/unplaceable_steps.cpp
+++ b/core/dispatch/placement/unplaceable_steps.cpp
@@ -20,7 +20,7 @@
 bool canWorkersHold(const WorkerTable &table, const ReadyStep &ready)
 {
     const Resources size = chargedSize(*ready.spec);
-    std::uint32_t missing = ready.spec->gang ? ready.spec->count : 1;
+    std::uint32_t missing = tasksPlacedTogether(*ready.spec);
     for (WorkerSlot slot = 0; slot < table.workers.size() && missing > 0; ++slot) {
         const Worker &worker = table.workers[slot];
         if (worker.listed && hasPoolAndLabel(ready, worker)) {
--- a/core/dispatch/tenant_state.cpp
+++ b/core/dispatch/tenant_state.cpp
@@ -68,7 +68,7 @@
     const auto exceeds = [](std::int64_t cap, std::int64_t need) { return cap > 0 && need > cap; };
     for (std::size_t number = 0; number < spec.steps.size(); ++number) {
         const StepSpec &step = spec.steps[number];
-        const Resources need = multiplied(chargedSize(step), step.gang ? step.count : 1);
+        const Resources need = multiplied(chargedSize(step), tasksPlacedTogether(step));
         if (exceeds(tenant.cap.cpuMilli, need.cpuMilli) || exceeds(tenant.cap.memoryMib, need.memoryMib)
             || exceeds(tenant.cap.accelerators, need.accelerators)) {
             return fmt::format("not accepted; {} of step {} needs {}, and the tenant's cap is {}",
